--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,5 @@
+/**
+The operators' command line.
+*/
+
+export {};
--- /dev/null
+++ b/packages/consensus/src/index.ts
@@ -0,0 +1,5 @@
+/**
+Replicated log as a pure core.
+*/
+
+export type * from './types.js';
--- /dev/null
+++ b/packages/consensus/src/types.ts
@@ -0,0 +1,110 @@
+/**
+The contract of the replicated log: a pure core that takes messages, storage
+results and time, and gives back actions. It does no input or output itself.
+
+After an action `persist` the core waits for `persisted` with the same number
+before it lets any message go that depends on it.
+*/
+
+import type {MemberId} from '@fireflyglade/model';
+
+/** One entry of the log. */
+export type LogEntry = {
+	/** From 1, without a gap. */
+	readonly index: number;
+	readonly term: number;
+	readonly payload: EntryPayload;
+};
+
+/** What an entry holds. */
+export type EntryPayload =
+	| {readonly kind: 'empty'}
+	/** An encoded command of the state machine. */
+	| {readonly kind: 'command'; readonly command: Uint8Array}
+	| {readonly kind: 'members'; readonly members: MemberSet};
+
+/** The members of the log; one change adds or removes one voter. */
+export type MemberSet = {
+	readonly voters: readonly MemberId[];
+	/** Members that receive the log but do not vote yet. */
+	readonly learners: readonly MemberId[];
+};
+
+/** The part of the state that must be synced before an answer depends on it. */
+export type HardState = {
+	readonly term: number;
+	readonly votedFor?: MemberId;
+};
+
+/** A snapshot of the state machine up to an index. */
+export type Snapshot = {
+	readonly lastIndex: number;
+	readonly lastTerm: number;
+	readonly members: MemberSet;
+	readonly data: Uint8Array;
+};
+
+/** A message between members; the payload belongs to the consensus package. */
+export type ConsensusMessage = {
+	readonly from: MemberId;
+	readonly to: MemberId;
+	readonly payload: unknown;
+};
+
+/** What the shell has to do, in this order. */
+export type ConsensusAction =
+	/** Sync this to disk, then call `persisted(number)`. */
+	| {readonly kind: 'persist'; readonly number: number; readonly hardState?: HardState; readonly truncateFrom?: number; readonly entries: readonly LogEntry[]; readonly snapshot?: Snapshot}
+	| {readonly kind: 'send'; readonly message: ConsensusMessage}
+	/** Apply these committed entries to the state machine, in order. */
+	| {readonly kind: 'apply'; readonly entries: readonly LogEntry[]}
+	/** Replace the state machine by this snapshot. */
+	| {readonly kind: 'restore'; readonly snapshot: Snapshot}
+	/** The read with this id may be answered from the state as applied up to `index`. */
+	| {readonly kind: 'read-ready'; readonly readId: number; readonly index: number}
+	| {readonly kind: 'read-failed'; readonly readId: number}
+	/** A proposal of this member was superseded: its fate is unknown to the caller, who may resend it. */
+	| {readonly kind: 'proposal-lost'; readonly proposalId: number}
+	/** A proposal of this member was committed at `index`. */
+	| {readonly kind: 'proposal-committed'; readonly proposalId: number; readonly index: number}
+	| {readonly kind: 'leadership-changed'; readonly leader: MemberId | undefined; readonly isSelf: boolean};
+
+/** What became of the wish to propose. */
+export type ProposalResult =
+	| {readonly kind: 'accepted'; readonly proposalId: number; readonly actions: readonly ConsensusAction[]}
+	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined};
+
+/** One member of the replicated log. */
+export type Consensus = {
+	receive(message: ConsensusMessage, now: number): readonly ConsensusAction[];
+	persisted(number: number, now: number): readonly ConsensusAction[];
+	/** Called every 10 to 50 ms. */
+	tick(now: number): readonly ConsensusAction[];
+	propose(payload: EntryPayload, now: number): ProposalResult;
+	/** Starts a linearizable read (read index). */
+	read(readId: number, now: number): readonly ConsensusAction[];
+	/** Tells the core that the state machine was saved up to `snapshot.lastIndex`. */
+	compact(snapshot: Snapshot, now: number): readonly ConsensusAction[];
+	/** Hands leadership over to the best follower. */
+	transferLeadership(now: number): readonly ConsensusAction[];
+	status(): ConsensusStatus;
+};
+
+/** The state of a member, for display and for evidence of a quorum. */
+export type ConsensusStatus = {
+	readonly term: number;
+	readonly role: 'leader' | 'candidate' | 'follower' | 'learner';
+	readonly leader: MemberId | undefined;
+	readonly commitIndex: number;
+	readonly lastIndex: number;
+	readonly members: MemberSet;
+	/** Monotonic milliseconds at which a quorum was last known to follow the leader. */
+	readonly quorumHeardAt: number;
+};
+
+/** What a member finds on its disk when it starts. */
+export type StoredState = {
+	readonly hardState: HardState;
+	readonly snapshot?: Snapshot;
+	readonly entries: readonly LogEntry[];
+};
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,5 @@
+/**
+The daemon that keeps the replicated configuration.
+*/
+
+export {};
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,5 @@
+/**
+The embedded default: one process with control, nodes and stand-ins.
+*/
+
+export {};
--- /dev/null
+++ b/packages/language/src/index.ts
@@ -0,0 +1,5 @@
+/**
+Grammar of the operators' statements.
+*/
+
+export type * from './types.js';
--- /dev/null
+++ b/packages/language/src/types.ts
@@ -0,0 +1,98 @@
+/**
+The contract of the operators' language: a statement's text in, a typed
+statement out, or an error that points at a character.
+*/
+
+import type {CutOffPolicy, Revision} from '@fireflyglade/model';
+
+/** A statement that changes the configuration. Names are checked when it is turned into a change. */
+export type ChangeStatement =
+	| {readonly kind: 'create-team'; readonly name: string; readonly ratePerSecond: number; readonly burst: number}
+	| {readonly kind: 'change-team'; readonly name: string; readonly ratePerSecond?: number; readonly burst?: number}
+	| {readonly kind: 'delete-team'; readonly name: string}
+	| {readonly kind: 'issue-key'; readonly team: string}
+	| {readonly kind: 'withdraw-key'; readonly id: string}
+	| {readonly kind: 'create-route'; readonly method: string; readonly path: string; readonly settings: RouteStatementSettings}
+	| {readonly kind: 'change-route'; readonly method: string; readonly path: string; readonly settings: RouteStatementSettings}
+	| {readonly kind: 'delete-route'; readonly method: string; readonly path: string}
+	| {readonly kind: 'drain-upstream'; readonly id: string}
+	| {readonly kind: 'undrain-upstream'; readonly id: string}
+	| {readonly kind: 'set-domain'; readonly name: string; readonly weight?: number; readonly witnesses?: readonly string[]}
+	| {readonly kind: 'delete-domain'; readonly name: string};
+
+/** The settings that a route statement names; those absent keep their default or their present value. */
+export type RouteStatementSettings = {
+	readonly service?: string;
+	readonly priority?: number;
+	readonly idempotent?: boolean;
+	readonly open?: boolean;
+	readonly retryLimit?: number;
+	readonly timeoutMilliseconds?: number;
+	readonly whenCutOff?: CutOffPolicy;
+	readonly teams?: readonly string[];
+};
+
+/** What a query reads. */
+export type QuerySubject = 'teams' | 'keys' | 'routes' | 'upstreams' | 'nodes' | 'domains' | 'members' | 'history' | 'revision';
+
+/** A comparison of a column with a value. */
+export type Comparison = {
+	readonly column: string;
+	readonly operator: '=' | '!=' | '<' | '<=' | '>' | '>=' | 'like';
+	readonly value: string | number | boolean;
+};
+
+/** A filter of rows. */
+export type Filter =
+	| {readonly kind: 'comparison'; readonly comparison: Comparison}
+	| {readonly kind: 'and'; readonly filters: readonly Filter[]}
+	| {readonly kind: 'or'; readonly filters: readonly Filter[]}
+	| {readonly kind: 'not'; readonly filter: Filter};
+
+/** A query over live figures. */
+export type QueryStatement = {
+	readonly kind: 'show';
+	readonly subject: QuerySubject;
+	readonly filter?: Filter;
+	readonly order?: ReadonlyArray<{readonly column: string; readonly descending: boolean}>;
+	readonly limit?: number;
+};
+
+/** A parsed statement. */
+export type Statement =
+	| {readonly kind: 'change'; readonly change: ChangeStatement; readonly expectedRevision?: Revision}
+	| {readonly kind: 'query'; readonly query: QueryStatement}
+	| {readonly kind: 'help'; readonly topic?: string};
+
+/** A cell of a result. */
+export type CellValue = string | number | boolean | undefined;
+
+/** A row of a result, by column name. */
+export type Row = Readonly<Record<string, CellValue>>;
+
+/** What a control process answers to a statement, as JSON over HTTP. */
+export type StatementAnswer =
+	| {
+		readonly kind: 'changed';
+		readonly revision: number;
+		readonly inForce: readonly string[];
+		/** Failure domains that have not confirmed the revision yet. */
+		readonly pending: readonly string[];
+		/** Failure domains from which nothing is heard. */
+		readonly cutOff: readonly string[];
+		/** Set where a key was issued; `secret` is shown this once. */
+		readonly id?: string;
+		readonly secret?: string;
+	}
+	| {readonly kind: 'rows'; readonly revision: number; readonly columns: readonly string[]; readonly rows: readonly Row[]}
+	| {readonly kind: 'help'; readonly text: string};
+
+/** The error of a statement, as JSON over HTTP. */
+export type StatementErrorAnswer = {
+	readonly error: {
+		readonly code: string;
+		readonly message: string;
+		/** Offset of the character in the statement at which the error lies, from 0. */
+		readonly position?: number;
+	};
+};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,5 @@
+/**
+Failure detection, gossip and leased roles between nodes.
+*/
+
+export type * from './types.js';
--- /dev/null
+++ b/packages/model/src/identifiers/test.ts
@@ -0,0 +1,21 @@
+import {expect} from 'chai';
+import {InvalidInputError} from '../errors/index.js';
+import {createRouteId, createTeamName} from './index.js';
+
+describe('createTeamName', () => {
+	it('takes letters, digits and inner punctuation', () => {
+		expect(createTeamName('fell-council_2.north')).to.equal('fell-council_2.north');
+	});
+
+	for (const value of ['', '-x', 'a b', 'a/b', 'x'.repeat(64), '__proto__']) {
+		it(`refuses ${JSON.stringify(value)}`, () => {
+			expect(() => createTeamName(value)).to.throw(InvalidInputError);
+		});
+	}
+});
+
+describe('createRouteId', () => {
+	it('writes the method in capitals', () => {
+		expect(createRouteId('post', '/orders')).to.equal('POST /orders');
+	});
+});
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,5 @@
+/**
+The daemon beside each upstream.
+*/
+
+export type * from './types.js';
--- /dev/null
+++ b/packages/observability/src/index.ts
@@ -0,0 +1,5 @@
+/**
+Logs, spans, histograms and counters.
+*/
+
+export {};
--- /dev/null
+++ b/packages/scenario/src/index.ts
@@ -0,0 +1,5 @@
+/**
+Stand-ins, load tool, benches and scenario language.
+*/
+
+export {};
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,5 @@
+/**
+Checked settings files in JSON with comments.
+*/
+
+export type * from './types.js';
--- /dev/null
+++ b/packages/state/src/types.ts
@@ -0,0 +1,95 @@
+/**
+The contract of the state machine: commands in, typed results out, the same on
+every control process.
+*/
+
+import type {
+	AcceptedChange, CommandId, Configuration, ConfigurationChange, JobKey, NodeId, RequestId, Revision, TeamName,
+} from '@fireflyglade/model';
+
+/** A command as it stands in the replicated log. */
+export type Command =
+	| {
+		readonly kind: 'change';
+		readonly commandId: CommandId;
+		readonly change: ConfigurationChange;
+		/** The change is refused unless the configuration is at this revision. */
+		readonly expectedRevision?: Revision;
+		readonly operator: string;
+		/** Wall-clock milliseconds of the leader. */
+		readonly at: number;
+	}
+	| {
+		readonly kind: 'begin-claim';
+		readonly claim: ClaimRequest;
+		readonly at: number;
+	}
+	| {
+		readonly kind: 'finish-claim';
+		readonly team: TeamName;
+		readonly job: JobKey;
+		readonly requestId: RequestId;
+		readonly outcome: ClaimOutcome;
+		readonly at: number;
+	};
+
+/** The wish of a gate to run one job. */
+export type ClaimRequest = {
+	readonly team: TeamName;
+	readonly job: JobKey;
+	readonly requestId: RequestId;
+	readonly gate: NodeId;
+	/** SHA-256 of method, path and body, so that another job can't pass under the same key. */
+	readonly fingerprint: string;
+};
+
+/** An answer kept for resends. */
+export type StoredAnswer = {
+	readonly status: number;
+	readonly headers: ReadonlyArray<readonly [string, string]>;
+	readonly body: Uint8Array;
+};
+
+/** How a claimed job ended. */
+export type ClaimOutcome =
+	| {readonly kind: 'answered'; readonly answer: StoredAnswer}
+	/** Answered, but too large to be kept. */
+	| {readonly kind: 'answered-too-large'; readonly status: number}
+	/** The gate never began to write the request: the job may be claimed again. */
+	| {readonly kind: 'not-run'}
+	| {readonly kind: 'unknown'};
+
+/** The result of a wish to claim. */
+export type ClaimResult =
+	| {readonly kind: 'granted'}
+	| {readonly kind: 'running'}
+	| {readonly kind: 'answered'; readonly answer: StoredAnswer}
+	| {readonly kind: 'answer-dropped'; readonly status: number}
+	| {readonly kind: 'outcome-unknown'}
+	| {readonly kind: 'mismatch'};
+
+/** Why a change was refused. */
+export type ChangeRefusal =
+	/** Another change came first; `winner` is the change that led to the present revision. */
+	| {readonly kind: 'revision-conflict'; readonly expected: Revision; readonly actual: Revision; readonly winner: AcceptedChange | undefined}
+	| {readonly kind: 'already-exists'; readonly what: string}
+	| {readonly kind: 'not-found'; readonly what: string}
+	| {readonly kind: 'invalid'; readonly what: string};
+
+/** The result of a command; a resend gets the first result again. */
+export type CommandResult =
+	| {readonly kind: 'changed'; readonly revision: Revision}
+	| {readonly kind: 'refused'; readonly refusal: ChangeRefusal}
+	| {readonly kind: 'claim'; readonly result: ClaimResult}
+	| {readonly kind: 'claim-finished'};
+
+/** The state machine of a control process. */
+export type StateMachine = {
+	apply(command: Command): CommandResult;
+	configuration(): Configuration;
+	/** The accepted changes after `revision`, or undefined if they are no longer kept. */
+	changesAfter(revision: Revision): readonly AcceptedChange[] | undefined;
+	/** The first result of a command, if it is still kept. */
+	resultOf(commandId: CommandId): CommandResult | undefined;
+	save(): Uint8Array;
+};
--- /dev/null
+++ b/packages/storage/src/index.ts
@@ -0,0 +1,5 @@
+/**
+Durable log and snapshot files.
+*/
+
+export type * from './types.js';
--- /dev/null
+++ b/packages/transport/src/index.ts
@@ -0,0 +1,5 @@
+/**
+RPC between processes and HTTP plumbing.
+*/
+
+export type * from './types.js';
--- /dev/null
+++ b/packages/transport/src/types.ts
@@ -0,0 +1,85 @@
+/**
+The contract of remote calls between the system's processes: typed methods over
+gRPC with a MessagePack codec, let in by mutual TLS or a fleet token.
+*/
+
+import type {
+	ConfigurationUpdate, FailureDomain, GateLevel, NodeId, RequestId, Revision, Target, TeamName,
+} from '@fireflyglade/model';
+
+/** A method of a service, with the types of its messages. */
+export type RpcMethod<Request, Response> = {
+	readonly service: string;
+	readonly name: string;
+	/** Never set; carries the types of the messages. */
+	readonly messageTypes?: (request: Request) => Response;
+};
+
+/** How processes prove that they belong to the fleet. */
+export type FleetCredentials =
+	| {readonly kind: 'token'; readonly token: string}
+	| {readonly kind: 'mutual-tls'; readonly authority: Uint8Array; readonly certificate: Uint8Array; readonly privateKey: Uint8Array};
+
+/** Answers remote calls. */
+export type RpcServer = {
+	handle<Request, Response>(method: RpcMethod<Request, Response>, handler: (request: Request) => Promise<Response>): void;
+	/** Listens on `host:port`, port 0 for any, and returns `host:port`. */
+	listen(address: string): Promise<string>;
+	close(): Promise<void>;
+};
+
+/** Makes remote calls; connections are kept for each address. */
+export type RpcClient = {
+	call<Request, Response>(method: RpcMethod<Request, Response>, address: string, request: Request, options: RpcCallOptions): Promise<Response>;
+	close(): void;
+};
+
+/** Options of one remote call. */
+export type RpcCallOptions = {
+	readonly timeoutMilliseconds: number;
+};
+
+/** What a node reports to a control process about every second; the answer brings what is new. */
+export type NodeReport = {
+	readonly node: NodeId;
+	readonly domain: FailureDomain;
+	readonly revision: Revision;
+	readonly rpcAddress: string;
+	readonly callersUrl: string;
+	readonly target?: Target;
+	readonly level?: GateLevel;
+	readonly teams: readonly TeamFigures[];
+	/** Nodes for which this relay speaks, with their revisions. */
+	readonly relayed: ReadonlyArray<{readonly node: NodeId; readonly revision: Revision}>;
+};
+
+/** Counts of one team at one node since the node started. */
+export type TeamFigures = {
+	readonly team: TeamName;
+	readonly offered: number;
+	readonly succeeded: number;
+	readonly failed: number;
+	readonly refusedByRate: number;
+	readonly refusedByLoad: number;
+};
+
+/** What a control process answers to a report. */
+export type ReportAnswer = {
+	/** Absent if nothing is newer than the reported revision. */
+	readonly update?: ConfigurationUpdate;
+	/** True if this control process has heard its quorum lately. */
+	readonly quorum: boolean;
+};
+
+/** Asks a gate what became of a request whose connection broke. */
+export type OutcomeQuestion = {
+	readonly requestId: RequestId;
+};
+
+/** How far a request came at a gate. A gate that never saw it refuses the id from then on. */
+export type RequestProgress = 'not-run' | 'running' | 'finished' | 'unknown';
+
+/** What a gate answers about a request. */
+export type OutcomeAnswer = {
+	readonly progress: RequestProgress;
+};
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,25 @@
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{ignores: ['**/dist/**', 'examples/**']},
+	{
+		rules: {
+			// Steps that must follow one another are awaited one by one.
+			'no-await-in-loop': 'off',
+			// The settings files of the programs are read before anything else can run.
+			'n/prefer-global/process': 'off',
+			'n/prefer-global/buffer': 'off',
+		},
+	},
+	{
+		files: ['**/test.ts', '**/test-support/**'],
+		rules: {
+			// The chai style of assertion is an expression.
+			'@typescript-eslint/no-unused-expressions': 'off',
+			// The test libraries are development dependencies of the workspace.
+			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
+		},
+	},
+];
+
+export default config;
