Add RPC between processes, checked settings and the stand-in upstream

Cause: node, control and tests need the same transport, settings and stand-in. Change: typed calls over gRPC with MessagePack, let in by fleet token or mutual TLS before a message is read; settings in JSON with comments whose errors name path, found and allowed; a stand-in upstream with slots that records its runs; the bench entry point. Conclusion: ready for node and control.

--- a/packages/scenario/src/index.ts
+++ b/packages/scenario/src/index.ts
@@ -2,4 +2,5 @@
 Stand-ins, load tool, benches and scenario language.
 */
 
-export {};
+export type * from './bench/types.js';
+export * from './stand-in-upstream/index.js';
--- /dev/null
+++ b/packages/settings/src/_lib/schemas.ts
@@ -0,0 +1,69 @@
+/**
+The schemas of parts that both kinds of settings share.
+
+Messages of the checks say what is allowed; what was found is added by
+`parseSettings`.
+*/
+
+import {
+	bytesInKibibyte, bytesInMebibyte, createFailureDomain, createMemberId, createNodeId, InvalidInputError,
+} from '@fireflyglade/model';
+import {z} from 'zod';
+import type {CallerLimits, FleetSecuritySettings, LogSettings} from '../types.js';
+
+const highestPort = 65_535;
+const defaultShutdownTimeoutMilliseconds = 30_000;
+const defaultMaximumConnections = 10_000;
+
+function isAddress(value: string): boolean {
+	const match = /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+]):(?<port>\d{1,5})$/i.exec(value);
+	return match !== null && Number(match.groups?.port) <= highestPort;
+}
+
+/** `IP:port`; port 0 takes any free port. */
+export const addressSchema = z.string().refine(isAddress, 'an IP number and a port, such as "127.0.0.1:7000" or "[::1]:7000"');
+
+/** Makes a schema of a branded name from the function that checks it. */
+export function nameSchema<Name extends string>(create: (value: string) => Name): z.ZodType<Name> {
+	return z.string().transform((value, context) => {
+		try {
+			return create(value);
+		} catch (error: unknown) {
+			if (error instanceof InvalidInputError) {
+				context.addIssue({code: 'custom', message: '1 to 63 letters, digits, "_", "." or "-", the first a letter or digit'});
+				return z.NEVER;
+			}
+
+			throw error;
+		}
+	});
+}
+
+export const nodeIdSchema = nameSchema(createNodeId);
+export const memberIdSchema = nameSchema(createMemberId);
+export const failureDomainSchema = nameSchema(createFailureDomain);
+
+export const fileSchema = z.string().min(1, 'the path of a file');
+
+export const logSchema: z.ZodType<LogSettings> = z.strictObject({
+	level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+	format: z.enum(['json', 'people']).default('json'),
+}).prefault({});
+
+export const securitySchema: z.ZodType<FleetSecuritySettings> = z.discriminatedUnion('kind', [
+	z.strictObject({kind: z.literal('token'), tokenFile: fileSchema}),
+	z.strictObject({
+		kind: z.literal('mutual-tls'), authorityFile: fileSchema, certificateFile: fileSchema, privateKeyFile: fileSchema,
+	}),
+]);
+
+const positiveWhole = z.int().min(1, 'a whole number of at least 1');
+
+export const shutdownTimeoutSchema = positiveWhole.default(defaultShutdownTimeoutMilliseconds);
+
+export const limitsSchema: z.ZodType<CallerLimits> = z.strictObject({
+	maximumHeaderBytes: positiveWhole.default(16 * bytesInKibibyte),
+	maximumBodyBytes: positiveWhole.default(16 * bytesInMebibyte),
+	maximumPathBytes: positiveWhole.default(4 * bytesInKibibyte),
+	maximumConnections: positiveWhole.default(defaultMaximumConnections),
+}).prefault({});
--- /dev/null
+++ b/packages/settings/src/load-control-settings/index.ts
@@ -0,0 +1,53 @@
+/**
+The settings file of a control process.
+*/
+
+import {z} from 'zod';
+import {readSettingsFile} from '../_lib/read-settings-file.js';
+import {
+	addressSchema, failureDomainSchema, fileSchema, logSchema, memberIdSchema, securitySchema, shutdownTimeoutSchema,
+} from '../_lib/schemas.js';
+import {parseSettings} from '../parse-settings/index.js';
+import type {ControlSettings} from '../types.js';
+
+const memberSchema = z.strictObject({member: memberIdSchema, rpcAddress: addressSchema});
+
+const operatorSchema = z.strictObject({
+	name: z.string().min(1, 'a name'),
+	role: z.enum(['operator', 'viewer']).default('operator'),
+	tokenFile: fileSchema,
+});
+
+const controlSchema: z.ZodType<ControlSettings> = z.strictObject({
+	member: memberIdSchema,
+	domain: failureDomainSchema,
+	dataFolder: z.string().min(1, 'the path of a folder'),
+	operatorAddress: addressSchema,
+	rpcAddress: addressSchema,
+	members: z.array(memberSchema).min(1, 'at least one member'),
+	join: z.boolean().default(false),
+	operators: z.array(operatorSchema).min(1, 'at least one operator'),
+	security: securitySchema,
+	shutdownTimeoutMilliseconds: shutdownTimeoutSchema,
+	log: logSchema,
+});
+
+/**
+Checks the text of a control process's settings.
+
+@param text - JSON with comments.
+@param file - Name of the file, for errors.
+@throws {SettingsError} The text has faults.
+*/
+export function parseControlSettings(text: string, file: string): ControlSettings {
+	return parseSettings(file, text, controlSchema);
+}
+
+/**
+Reads and checks a control process's settings.
+
+@throws {SettingsError} The file can't be read or has faults.
+*/
+export async function loadControlSettings(file: string): Promise<ControlSettings> {
+	return parseControlSettings(await readSettingsFile(file), file);
+}
--- /dev/null
+++ b/packages/settings/src/load-node-settings/index.ts
@@ -0,0 +1,49 @@
+/**
+The settings file of a node.
+*/
+
+import {z} from 'zod';
+import {readSettingsFile} from '../_lib/read-settings-file.js';
+import {
+	addressSchema, failureDomainSchema, fileSchema, limitsSchema, logSchema, nodeIdSchema, securitySchema, shutdownTimeoutSchema,
+} from '../_lib/schemas.js';
+import {parseSettings} from '../parse-settings/index.js';
+import type {NodeSettings} from '../types.js';
+
+const nodeSchema: z.ZodType<NodeSettings> = z.strictObject({
+	node: nodeIdSchema,
+	domain: failureDomainSchema,
+	callersAddress: addressSchema,
+	gateAddress: addressSchema,
+	rpcAddress: addressSchema,
+	announceAddress: addressSchema,
+	egressAddress: addressSchema,
+	statusAddress: addressSchema,
+	control: z.array(addressSchema).min(1, 'at least one address'),
+	seeds: z.array(addressSchema),
+	security: securitySchema,
+	limits: limitsSchema,
+	shutdownTimeoutMilliseconds: shutdownTimeoutSchema,
+	log: logSchema,
+	spanFile: fileSchema.optional(),
+});
+
+/**
+Checks the text of a node's settings.
+
+@param text - JSON with comments.
+@param file - Name of the file, for errors.
+@throws {SettingsError} The text has faults.
+*/
+export function parseNodeSettings(text: string, file: string): NodeSettings {
+	return parseSettings(file, text, nodeSchema);
+}
+
+/**
+Reads and checks a node's settings.
+
+@throws {SettingsError} The file can't be read or has faults.
+*/
+export async function loadNodeSettings(file: string): Promise<NodeSettings> {
+	return parseNodeSettings(await readSettingsFile(file), file);
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,4 +2,8 @@
 RPC between processes and HTTP plumbing.
 */
 
-export type * from './types.js';
+export * from './message-codec/index.js';
+export * from './rpc-client/index.js';
+export * from './rpc-error/index.js';
+export * from './rpc-server/index.js';
+export * from './types.js';
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -83,3 +83,9 @@
 export type OutcomeAnswer = {
 	readonly progress: RequestProgress;
 };
+
+/** The report of a node to a control process. */
+export const reportMethod: RpcMethod<NodeReport, ReportAnswer> = {service: 'control', name: 'report'};
+
+/** The question to a gate about a request whose connection broke. */
+export const outcomeMethod: RpcMethod<OutcomeQuestion, OutcomeAnswer> = {service: 'node', name: 'outcome'};
