Add the configuration state machine with claims

Cause: control processes need one deterministic state that survives, gives a resend its first answer and grants each job once.

ClaimRequest gains gateIncarnation, since a gate that restarted must not be granted what its predecessor may have sent; ClaimResult gains table-full, since forgetting an unexpired claim could run a job twice. State-machine time moves by at most one minute a command, so that a clock jump doesn't expire claims. XO's switch rule lets an exhaustive switch keep its throwing default.

Conclusion: packages/control can be written against it.

--- /dev/null
+++ b/packages/state/src/configuration-state-machine/index.ts
@@ -0,0 +1,246 @@
+/**
+The state that all members of the replicated log come to by applying the same
+commands: the configuration, its latest changes, the results of the latest
+commands, and the claims.
+
+It has no clock. Its own time moves with the times in the commands, by at most
+one minute a command and never back, so that a leader whose clock jumps can't
+make claims expire early.
+*/
+
+import {
+	UnreachableError, emptyConfiguration,
+	type AcceptedChange, type CommandId, type Configuration, type Revision,
+} from '@fireflyglade/model';
+import {ClaimTable, type ClaimBounds, type ClaimRecord} from '../_lib/claim-table.js';
+import {CommandResults, digestChange, type KeptResult} from '../_lib/command-results.js';
+import {decodeValue, encodeValue} from '../_lib/codec.js';
+import {applyConfigurationChange} from '../apply-configuration-change/index.js';
+import {StateFormatError} from '../errors/index.js';
+import type {
+	ChangeRefusal, Command, CommandResult, StateMachine,
+} from '../types.js';
+
+/** Bounds of a state machine; they must be the same on every member of the log. */
+export type StateMachineOptions = ClaimBounds & {
+	/** Accepted changes kept for nodes that lag. */
+	readonly maximumChanges: number;
+	/** Results kept for resends of operators' commands. */
+	readonly maximumResults: number;
+};
+
+/** The amounts that a state machine holds, for metrics. */
+export type StateMachineSizes = {
+	readonly claims: number;
+	readonly answerBytes: number;
+	readonly changes: number;
+};
+
+const maximumTimeStepMilliseconds = 60_000;
+
+/** The bounds that the programs use. */
+export const defaultStateMachineOptions: StateMachineOptions = {
+	maximumChanges: 20_000,
+	maximumResults: 20_000,
+	maximumClaims: 500_000,
+	claimRetentionMilliseconds: 86_400_000,
+	runningLimitMilliseconds: 3_600_000,
+	maximumAnswerBytes: 67_108_864,
+	maximumSingleAnswerBytes: 65_536,
+};
+
+type ChangeCommand = Extract<Command, {kind: 'change'}>;
+
+type SavedConfiguration = {
+	readonly revision: Revision;
+	readonly teams: ReadonlyArray<readonly [never, never]>;
+	readonly keys: ReadonlyArray<readonly [never, never]>;
+	readonly routes: ReadonlyArray<readonly [never, never]>;
+	readonly domains: ReadonlyArray<readonly [never, never]>;
+	readonly drainedUpstreams: readonly never[];
+};
+
+type SavedState = {
+	readonly kind: 'state';
+	readonly configuration: SavedConfiguration;
+	readonly changes: readonly AcceptedChange[];
+	readonly results: readonly KeptResult[];
+	readonly claims: readonly ClaimRecord[];
+	readonly elapsedMilliseconds: number;
+	readonly lastAt: number | undefined;
+};
+
+/**
+The state machine of a control process.
+
+@example
+```ts
+const machine = new ConfigurationStateMachine();
+machine.apply({kind: 'change', commandId, change, operator: 'anna', at: Date.now()});
+ConfigurationStateMachine.restore(machine.save()); // in the same state
+```
+*/
+export class ConfigurationStateMachine implements StateMachine {
+	/**
+	Makes a state machine from what `save` gave.
+
+	@throws {StateFormatError} The bytes are damaged or of an unknown version.
+	*/
+	static restore(bytes: Uint8Array, options: Partial<StateMachineOptions> = {}): ConfigurationStateMachine {
+		const saved = decodeValue(bytes) as SavedState | undefined;
+		if (saved?.kind !== 'state') {
+			throw new StateFormatError('the bytes hold no saved state');
+		}
+
+		const machine = new ConfigurationStateMachine(options);
+		machine.#restore(saved);
+		return machine;
+	}
+
+	readonly #options: StateMachineOptions;
+	#configuration: Configuration = emptyConfiguration;
+	#changes: AcceptedChange[] = [];
+	#results: CommandResults;
+	#claims: ClaimTable;
+	#elapsedMilliseconds = 0;
+	#lastAt: number | undefined;
+
+	constructor(options: Partial<StateMachineOptions> = {}) {
+		this.#options = {...defaultStateMachineOptions, ...options};
+		this.#results = new CommandResults(this.#options.maximumResults);
+		this.#claims = new ClaimTable(this.#options);
+	}
+
+	apply(command: Command): CommandResult {
+		this.#moveTime(command.at);
+		switch (command.kind) {
+			case 'change': {
+				return this.#applyOnce(command);
+			}
+
+			case 'begin-claim': {
+				return {kind: 'claim', result: this.#claims.begin(command.claim, this.#elapsedMilliseconds)};
+			}
+
+			case 'finish-claim': {
+				this.#claims.finish(command, this.#elapsedMilliseconds);
+				return {kind: 'claim-finished'};
+			}
+
+			default: {
+				throw new UnreachableError(command);
+			}
+		}
+	}
+
+	configuration(): Configuration {
+		return this.#configuration;
+	}
+
+	changesAfter(revision: Revision): readonly AcceptedChange[] | undefined {
+		const missing = this.#configuration.revision - revision;
+		if (missing < 0 || missing > this.#changes.length) {
+			return undefined;
+		}
+
+		return missing === 0 ? [] : this.#changes.slice(-missing);
+	}
+
+	resultOf(commandId: CommandId): CommandResult | undefined {
+		return this.#results.get(commandId)?.result;
+	}
+
+	/** The amounts held now. */
+	sizes(): StateMachineSizes {
+		return {claims: this.#claims.size, answerBytes: this.#claims.answerBytes, changes: this.#changes.length};
+	}
+
+	save(): Uint8Array {
+		const configuration = this.#configuration;
+		return encodeValue({
+			kind: 'state',
+			configuration: {
+				revision: configuration.revision,
+				teams: [...configuration.teams],
+				keys: [...configuration.keys],
+				routes: [...configuration.routes],
+				domains: [...configuration.domains],
+				drainedUpstreams: [...configuration.drainedUpstreams],
+			},
+			changes: this.#changes,
+			results: this.#results.all(),
+			claims: this.#claims.records(),
+			elapsedMilliseconds: this.#elapsedMilliseconds,
+			lastAt: this.#lastAt,
+		});
+	}
+
+	#restore(saved: SavedState): void {
+		this.#configuration = {
+			revision: saved.configuration.revision,
+			teams: new Map(saved.configuration.teams),
+			keys: new Map(saved.configuration.keys),
+			routes: new Map(saved.configuration.routes),
+			domains: new Map(saved.configuration.domains),
+			drainedUpstreams: new Set(saved.configuration.drainedUpstreams),
+		};
+		this.#changes = [...saved.changes];
+		this.#results = new CommandResults(this.#options.maximumResults, saved.results);
+		this.#claims = new ClaimTable(this.#options, saved.claims);
+		this.#elapsedMilliseconds = saved.elapsedMilliseconds;
+		this.#lastAt = saved.lastAt;
+	}
+
+	#moveTime(at: number): void {
+		const step = at - (this.#lastAt ?? at);
+		this.#elapsedMilliseconds += Math.min(Math.max(step, 0), maximumTimeStepMilliseconds);
+		this.#lastAt = at;
+	}
+
+	#applyOnce(command: ChangeCommand): CommandResult {
+		const changeDigest = digestChange(command.change);
+		const kept = this.#results.get(command.commandId);
+		if (kept === undefined) {
+			const result = this.#change(command);
+			this.#results.add({commandId: command.commandId, changeDigest, result});
+			return result;
+		}
+
+		return kept.changeDigest === changeDigest
+			? kept.result
+			: refused({kind: 'invalid', what: `command id ${command.commandId} was used for another change`});
+	}
+
+	#change(command: ChangeCommand): CommandResult {
+		const {revision} = this.#configuration;
+		if (command.expectedRevision !== undefined && command.expectedRevision !== revision) {
+			return refused({
+				kind: 'revision-conflict', expected: command.expectedRevision, actual: revision, winner: this.#changes.at(-1),
+			});
+		}
+
+		const nextRevision = (revision + 1) as Revision;
+		const result = applyConfigurationChange(this.#configuration, command.change, nextRevision);
+		if (result.kind === 'refused') {
+			return result;
+		}
+
+		this.#configuration = result.configuration;
+		this.#keepChange({
+			revision: nextRevision, change: command.change, acceptedAt: command.at, operator: command.operator,
+		});
+		return {kind: 'changed', revision: nextRevision};
+	}
+
+	#keepChange(change: AcceptedChange): void {
+		this.#changes.push(change);
+		// The surplus is cut in large pieces, since a cut moves all that is left.
+		if (this.#changes.length > this.#options.maximumChanges * 2) {
+			this.#changes = this.#changes.slice(-this.#options.maximumChanges);
+		}
+	}
+}
+
+function refused(refusal: ChangeRefusal): CommandResult {
+	return {kind: 'refused', refusal};
+}
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -39,6 +39,12 @@
 	readonly job: JobKey;
 	readonly requestId: RequestId;
 	readonly gate: NodeId;
+	/**
+	Random identifier that the gate's process makes at its start. Only a resend by
+	the same process is granted again: a gate that restarted doesn't know what its
+	predecessor sent.
+	*/
+	readonly gateIncarnation: string;
 	/** SHA-256 of method, path and body, so that another job can't pass under the same key. */
 	readonly fingerprint: string;
 };
@@ -66,7 +72,10 @@
 	| {readonly kind: 'answered'; readonly answer: StoredAnswer}
 	| {readonly kind: 'answer-dropped'; readonly status: number}
 	| {readonly kind: 'outcome-unknown'}
-	| {readonly kind: 'mismatch'};
+	/** The key was used for another request. */
+	| {readonly kind: 'mismatch'}
+	/** The claims kept have reached their bound: the job was not run and may be claimed later. */
+	| {readonly kind: 'table-full'};
 
 /** Why a change was refused. */
 export type ChangeRefusal =
--- a/xo.config.js
+++ b/xo.config.js
@@ -10,6 +10,13 @@
 			'n/prefer-global/buffer': 'off',
 		},
 	},
+	{
+		files: ['**/*.ts'],
+		rules: {
+			// An exhaustive switch still has a default that throws, for values from outside.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {allowDefaultCaseForExhaustiveSwitch: true, requireDefaultForNonUnion: true}],
+		},
+	},
 	{
 		files: ['**/test.ts', '**/test-support/**'],
 		rules: {
