Parse the operators' statements

The control daemon and the client need typed statements. The grammar is LL(1), so that an error points at the first token that can't stand there. Queries are evaluated over rows; changes become changes of the configuration with the defaults filled in; statements print back to text.

--- /dev/null
+++ b/packages/language/src/_lib/read-values/index.ts
@@ -0,0 +1,68 @@
+/**
+Values of tokens. Each function throws a `StatementSyntaxError` at the token if
+its value is not allowed.
+*/
+
+import type {IToken} from 'chevrotain';
+import {millisecondsInSecond} from '@fireflyglade/model';
+import {StatementSyntaxError} from '../../statement-syntax-error/index.js';
+
+const methods = new Set(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']);
+const secondsInUnit: Readonly<Record<string, number>> = {s: 1, min: 60, h: 3600};
+const millisecondsInUnit: Readonly<Record<string, number>> = {ms: 1, s: millisecondsInSecond, min: 60 * millisecondsInSecond};
+
+function checkFinite(value: number, token: IToken): number {
+	if (!Number.isFinite(value)) {
+		throw new StatementSyntaxError(`${token.image} is too large`, token.startOffset);
+	}
+
+	return value;
+}
+
+/** Reads a number. */
+export function readNumber(token: IToken): number {
+	return checkFinite(Number(token.image), token);
+}
+
+/** Reads a whole number from 0. */
+export function readWholeNumber(token: IToken): number {
+	const value = Number(token.image);
+	if (!Number.isSafeInteger(value) || value < 0) {
+		throw new StatementSyntaxError(`expected a whole number from 0, found ${JSON.stringify(token.image)}`, token.startOffset);
+	}
+
+	return value;
+}
+
+/** Reads a rate in requests a second. */
+export function readRate(token: IToken): number {
+	const [amount, unit] = token.image.split('/') as [string, string];
+	return checkFinite(Number(amount) / secondsInUnit[unit]!, token);
+}
+
+/** Reads a length of time in whole milliseconds, at least 1. */
+export function readDuration(token: IToken): number {
+	const unit = /[a-z]+$/.exec(token.image)![0];
+	const amount = Number(token.image.slice(0, -unit.length));
+	const milliseconds = Math.round(checkFinite(amount * millisecondsInUnit[unit]!, token));
+	if (milliseconds < 1) {
+		throw new StatementSyntaxError('expected a duration of at least 1ms', token.startOffset);
+	}
+
+	return milliseconds;
+}
+
+/** Reads an HTTP method, in capitals. */
+export function readMethod(token: IToken): string {
+	const method = token.image.toUpperCase();
+	if (!methods.has(method)) {
+		throw new StatementSyntaxError(`expected an HTTP method (${[...methods].join(', ')}), found ${JSON.stringify(token.image)}`, token.startOffset);
+	}
+
+	return method;
+}
+
+/** Reads text in quotes. */
+export function readQuoted(token: IToken): string {
+	return token.image.slice(1, -1).replaceAll(/\\(["\\])/g, '$1');
+}
--- /dev/null
+++ b/packages/language/src/evaluate-query/test.ts
@@ -0,0 +1,47 @@
+import {expect} from 'chai';
+import {parseStatement} from '../parse-statement/index.js';
+import type {QueryStatement} from '../types.js';
+import {evaluateQuery, UnknownColumnError} from './index.js';
+
+const rows = [
+	{team: 'brook', refused: 3, goodput: 10},
+	{team: 'fell', refused: 0, goodput: 50},
+	{team: 'moor', refused: 9, goodput: 30},
+	{team: 'tarn', refused: 9},
+];
+
+function queryOf(text: string): QueryStatement {
+	const statement = parseStatement(text);
+	if (statement.kind !== 'query') {
+		throw new TypeError('expected a query');
+	}
+
+	return statement.query;
+}
+
+function teamsOf(text: string): readonly unknown[] {
+	return evaluateQuery(queryOf(text), rows).map(row => row.team);
+}
+
+describe('evaluateQuery', () => {
+	it('filters, orders and limits', () => {
+		expect(teamsOf('show teams where refused > 0 order by goodput desc limit 5')).deep.equal(['tarn', 'moor', 'brook']);
+		expect(teamsOf('show teams order by refused desc, team desc limit 2')).deep.equal(['tarn', 'moor']);
+	});
+
+	it('matches a pattern as a whole, with its other characters as they stand', () => {
+		expect(teamsOf('show teams where team like "*r*"')).deep.equal(['brook', 'moor', 'tarn']);
+		expect(teamsOf('show teams where team like "f.ll"')).deep.equal([]);
+	});
+
+	it('leaves a row without a value out of every comparison but "!="', () => {
+		expect(teamsOf('show teams where goodput < 100')).deep.equal(['brook', 'fell', 'moor']);
+		expect(teamsOf('show teams where not goodput < 100')).deep.equal(['tarn']);
+		expect(teamsOf('show teams where goodput != 10')).deep.equal(['fell', 'moor', 'tarn']);
+	});
+
+	it('refuses a column that is not there, also without rows', () => {
+		expect(() => evaluateQuery(queryOf('show teams where colour = 1'), rows)).throws(UnknownColumnError);
+		expect(() => evaluateQuery(queryOf('show teams order by colour'), [], {columns: ['team']})).throws(UnknownColumnError);
+	});
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -10,6 +10,13 @@
 			'n/prefer-global/buffer': 'off',
 		},
 	},
+	{
+		files: ['**/*.ts'],
+		rules: {
+			// An exhaustive switch still has a default that throws, for values from outside.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {allowDefaultCaseForExhaustiveSwitch: true, requireDefaultForNonUnion: true}],
+		},
+	},
 	{
 		files: ['**/test.ts', '**/test-support/**'],
 		rules: {
@@ -20,6 +27,14 @@
 			'n/no-extraneous-import': 'off',
 		},
 	},
+	{
+		files: ['**/*-parser/index.ts'],
+		rules: {
+			// The parser library names the methods of its grammar in capitals.
+			'new-cap': 'off',
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
 ];
 
 export default config;
