Add a first admission and routing policy

Cause: the callers' path needs decisions to call while the policy grows.

RoutingOptions takes the node's id, as the subset of a large service's targets depends on it; AdmissionOptions takes an optional limit and queue order, so that variants can be measured.

--- /dev/null
+++ b/packages/admission/src/_lib/waiting-room/index.ts
@@ -0,0 +1,106 @@
+/**
+All requests that wait at a gate, in the order of importance.
+
+Importance is the priority first; at the same priority the calls of a chain
+that has begun go before new root requests. Each importance has a fair queue.
+*/
+
+import {highestPriority, lowestPriority, type RequestId} from '@fireflyglade/model';
+import {FairQueue, type WaitingRequest} from '../fair-queue/index.js';
+import {IndexedHeap} from '../indexed-heap/index.js';
+import type {AdmissionRequest} from '../../types.js';
+
+const bandsOfPriority = 2;
+
+/** The place of a request in the order of importance; smaller goes first. */
+export function bandOf(request: AdmissionRequest): number {
+	const priority = Math.min(lowestPriority, Math.max(highestPriority, Math.trunc(request.priority)));
+	return (priority * bandsOfPriority) + (request.depth > 0 ? 0 : 1);
+}
+
+/** The requests that wait at a gate. */
+export class WaitingRoom {
+	readonly #bands: FairQueue[] = [];
+	readonly #byDeadline = new IndexedHeap<WaitingRequest>((left, right) => left.request.deadline < right.request.deadline);
+	readonly #byId = new Map<RequestId, WaitingRequest>();
+	#sequence = 0;
+
+	constructor() {
+		for (let band = 0; band < (lowestPriority + 1) * bandsOfPriority; band++) {
+			this.#bands.push(new FairQueue());
+		}
+	}
+
+	get size(): number {
+		return this.#byId.size;
+	}
+
+	/** Priority of the least important request that waits. */
+	get worstPriority(): number | undefined {
+		const waiting = this.firstToShed();
+		return waiting === undefined ? undefined : Math.floor(waiting.band / bandsOfPriority);
+	}
+
+	has(requestId: RequestId): boolean {
+		return this.#byId.has(requestId);
+	}
+
+	add(request: AdmissionRequest, weight: number, now: number): void {
+		const waiting: WaitingRequest = {
+			request,
+			arrivedAt: now,
+			sequence: this.#sequence++,
+			band: bandOf(request),
+		};
+		this.#byId.set(request.requestId, waiting);
+		this.#byDeadline.update(waiting);
+		this.#bands[waiting.band]!.add(waiting, weight);
+	}
+
+	/** Takes the request that runs next. */
+	takeNext(newestFirst: boolean): WaitingRequest | undefined {
+		for (const band of this.#bands) {
+			const waiting = band.takeNext(newestFirst);
+			if (waiting !== undefined) {
+				this.#forget(waiting);
+				return waiting;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** The request that gives way first when the room is full. */
+	firstToShed(): WaitingRequest | undefined {
+		for (let band = this.#bands.length - 1; band >= 0; band--) {
+			const waiting = this.#bands[band]!.firstToShed();
+			if (waiting !== undefined) {
+				return waiting;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** The request with the least remaining time. */
+	earliestDeadline(): WaitingRequest | undefined {
+		return this.#byDeadline.first();
+	}
+
+	/** Removes a request that doesn't run; undefined if it doesn't wait. */
+	remove(requestId: RequestId): WaitingRequest | undefined {
+		const waiting = this.#byId.get(requestId);
+		if (waiting === undefined) {
+			return undefined;
+		}
+
+		this.#bands[waiting.band]!.remove(waiting);
+		this.#forget(waiting);
+		return waiting;
+	}
+
+	#forget(waiting: WaitingRequest): void {
+		this.#byId.delete(waiting.request.requestId);
+		this.#byDeadline.remove(waiting);
+	}
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -2,4 +2,6 @@
 Decides at the gate which request runs, waits or is refused.
 */
 
+export * from './adaptive-limit/index.js';
+export * from './gate-admission/index.js';
 export type * from './types.js';
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -59,4 +59,32 @@
 	readonly now: number;
 	/** True if the upstream has just started and must warm up. */
 	readonly cold?: boolean;
+	/** The concurrency limit; an `AdaptiveLimit` if absent. */
+	readonly limit?: ConcurrencyLimit;
+	/** The order within a team; `earliest-deadline` if absent. */
+	readonly order?: QueueOrder;
+};
+
+/** Which waiting request of a team runs next. */
+export type QueueOrder =
+	| 'earliest-deadline'
+	/** The newest once the queue has stood for long, else the earliest deadline. */
+	| 'newest-when-standing';
+
+/** One run at the upstream, as its concurrency limit sees it. */
+export type RunSample = {
+	readonly startedAt: number;
+	readonly outcome: RunOutcome;
+};
+
+/** How many requests the upstream may run at once. */
+export type ConcurrencyLimit = {
+	/** The limit that is in force, a whole number of at least 1. */
+	current(now: number): number;
+	/** Takes over the slots that the upstream announced. */
+	setSlots(slots: number, now: number): void;
+	/** Reports that a request started, with the number that now run. */
+	begin(inFlight: number, now: number): void;
+	/** Reports a run that ended, with the number that still run. */
+	finish(sample: RunSample, inFlight: number, now: number): void;
 };
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -3,7 +3,7 @@
 */
 
 import type {
-	FailureDomain, GateLevel, RandomSource, ServiceName, Target, UpstreamId,
+	FailureDomain, GateLevel, NodeId, RandomSource, ServiceName, Target, UpstreamId,
 } from '@fireflyglade/model';
 
 /** How an attempt on a target ended, as the entry node saw it. */
@@ -49,6 +49,8 @@
 export type RoutingOptions = {
 	/** The node's own failure domain, preferred to others. */
 	readonly domain: FailureDomain;
+	/** The node itself; it decides which subset of a large service's targets the node uses. */
+	readonly node: NodeId;
 };
 
 /** Caps retries as a share of first attempts. */
