--- a/xo.config.js
+++ b/xo.config.js
@@ -27,6 +27,14 @@
 			'n/no-extraneous-import': 'off',
 		},
 	},
+	{
+		files: ['**/*-parser/index.ts'],
+		rules: {
+			// The parser library names the methods of its grammar in capitals.
+			'new-cap': 'off',
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
 ];
 
 export default config;
