--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,10 +2,14 @@
 RPC between processes and HTTP plumbing.
 */
 
-export type * from './types.js';
-export type * from './http-types/index.js';
-export * from './http-fields/index.js';
 export * from './http-answer/index.js';
 export * from './http-body/index.js';
+export * from './http-fields/index.js';
 export * from './http-listener/index.js';
 export * from './http-sender/index.js';
+export type * from './http-types/index.js';
+export * from './message-codec/index.js';
+export * from './rpc-client/index.js';
+export * from './rpc-error/index.js';
+export * from './rpc-server/index.js';
+export * from './types.js';
