--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -4,17 +4,19 @@
 
 A retry is made only if the work certainly did not run, or if the route is
 idempotent; only while the call tree has retries left; only within the node's
-budget; and only if the body can be sent again. The retries of a tree are shared
-out, never copied: what an attempt carries down is no longer here, and what it
-leaves unused comes back with the answer. So over a whole tree no more retries
-are made than the root request had.
+budget; and only if the body can be sent again. The attempts of a tree are shared
+out, never copied. A retry goes to another target, so that the delay which a
+target asked for does not hold it up; the final answer carries that delay on.
 */
 
 import {
 	UnreachableError,
 	type Clock, type GateLevel, type NodeId, type Problem, type ProblemCode, type RandomSource, type RequestId, type Route, type Target, type TeamName, type Timer, type UpstreamId,
 } from '@fireflyglade/model';
-import type {AttemptOutcome, RetryBudget, Routing} from '@fireflyglade/routing';
+import {
+	backoffDelay, lowerAttempts, splitAttempts,
+	type AttemptOutcome, type AttemptSplit, type RetryBudget, type Routing,
+} from '@fireflyglade/routing';
 import type {
 	AnswerFlow, AnswerHead, HeaderFields, RequestBody,
 } from '@fireflyglade/transport';
@@ -24,7 +26,6 @@
 import type {JobClaimFields} from '../peer-fields/index.js';
 import {attemptId} from '../request-ids/index.js';
 import {createTraceparent} from '../trace-context/index.js';
-import {retryDelay} from '../retry-delay/index.js';
 
 /** A call that is to be carried to its answer. */
 export type EntryCall = {
@@ -35,8 +36,8 @@
 	readonly priority: number;
 	/** Monotonic milliseconds. */
 	readonly deadline: number;
-	/** Retries that the call and all below it may make. */
-	readonly retries: number;
+	/** Attempts for the whole call tree, the first counted. */
+	readonly maximumAttempts: number;
 	readonly depth: number;
 	readonly traceparent: string;
 	readonly job?: JobClaimFields;
@@ -76,9 +77,9 @@
 	readonly #receiver: FinalReceiver;
 	readonly #options: CallAttemptsOptions;
 	readonly #tried = new Set<UpstreamId>();
-	#retriesLeft: number;
-	/** Retries that stay here while an attempt is under way. */
-	#retriesKept = 0;
+	/** Attempts that may still be made; during an attempt, those that may follow it. */
+	#remaining: number;
+	#split: AttemptSplit = {passed: 1, kept: 0};
 	#attempts = 0;
 	#target: Target | undefined;
 	#attemptAt = 0;
@@ -94,7 +95,7 @@
 		this.#call = call;
 		this.#receiver = receiver;
 		this.#options = options;
-		this.#retriesLeft = call.retries;
+		this.#remaining = call.maximumAttempts;
 	}
 
 	/** Attempts that were sent. */
@@ -104,7 +105,7 @@
 
 	/** Retries that neither this call nor any below it has used. */
 	get retriesLeft(): number {
-		return this.#retriesLeft;
+		return this.#remaining;
 	}
 
 	/** Sends the first attempt. */
@@ -128,7 +129,7 @@
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
 		this.#level = note.level;
-		this.#retriesLeft = this.#retriesKept + note.retriesLeft;
+		this.#remaining = lowerAttempts(this.#split, {kind: 'ran', unspent: note.retriesLeft});
 		if (head.status === upstreamOverloadedStatus && this.#call.route.idempotent && this.#takeRetry()) {
 			this.#isDiscarding = true;
 			this.#mayHaveRun = true;
@@ -159,7 +160,7 @@
 
 	onProblem(problem: Problem, note: GateNote): void {
 		this.#level = note.level;
-		this.#retriesLeft = this.#retriesKept + note.retriesLeft;
+		this.#remaining = lowerAttempts(this.#split, problem.outcome === 'not-run' ? {kind: 'not-run'} : {kind: 'ran', unspent: note.retriesLeft});
 		this.#mayHaveRun ||= problem.outcome === 'unknown';
 		this.#lastProblem = problem;
 		this.#endAttempt(problem.outcome === 'not-run' ? {kind: 'refused'} : {kind: 'failed'});
@@ -235,12 +236,10 @@
 		}
 	}
 
-	/** Makes the next attempt's call; one retry stays here, so that an attempt without an answer doesn't take all. */
 	#gateCall(): GateCall {
 		const call = this.#call;
-		this.#retriesKept = Math.min(1, this.#retriesLeft);
-		const carried = this.#retriesLeft - this.#retriesKept;
-		this.#retriesLeft = this.#retriesKept;
+		this.#split = splitAttempts(this.#remaining);
+		this.#remaining = this.#split.kept;
 		return {
 			context: {
 				requestId: attemptId(call.requestId, this.#attempts),
@@ -248,7 +247,7 @@
 				...(call.team === undefined ? {} : {team: call.team}),
 				priority: call.priority,
 				deadline: call.deadline,
-				remainingAttempts: carried + 1,
+				remainingAttempts: this.#split.passed,
 				depth: call.depth,
 				traceparent: createTraceparent(call.traceparent),
 			},
@@ -282,7 +281,7 @@
 	}
 
 	#takeRetry(): boolean {
-		if (this.#isDone || this.#retriesLeft < 1 || !this.#call.body.canReplay()) {
+		if (this.#isDone || this.#remaining < 1 || !this.#call.body.canReplay()) {
 			return false;
 		}
 
@@ -290,13 +289,12 @@
 			return false;
 		}
 
-		this.#retriesLeft -= 1;
 		return true;
 	}
 
 	#retryLater(): void {
 		const {clock, random} = this.#options;
-		const delay = retryDelay(this.#attempts, random);
+		const delay = backoffDelay(this.#attempts, random);
 		this.#retryTimer = clock.startTimer(delay, () => {
 			this.#retryTimer = undefined;
 			if (!this.#isDone) {
--- a/packages/node/src/_lib/call-policy.ts
+++ b/packages/node/src/_lib/call-policy.ts
@@ -7,8 +7,8 @@
 import type {
 	Configuration, Problem, RequestId, Route, TeamName,
 } from '@fireflyglade/model';
-import type {RunningRequest} from './call-table/index.js';
 import type {CallSide} from '../dependencies.js';
+import type {RunningRequest} from './call-table/index.js';
 
 /** Under which terms a call may go on. */
 export type CallTerms =
@@ -22,7 +22,8 @@
 		readonly priority: number;
 		/** Monotonic milliseconds. */
 		readonly deadline: number;
-		readonly retries: number;
+		/** Attempts for the whole call tree, the first counted. */
+		readonly attempts: number;
 		readonly depth: number;
 		/** The running request that the call belongs to. */
 		readonly parent?: RunningRequest;
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -43,15 +43,19 @@
 type GrantedTerms = Extract<CallTerms, {readonly kind: 'granted'}>;
 
 /** A request that has found its route and its terms. */
-type Admitted = {
+type Routed = {
 	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
 	readonly route: Route;
 	readonly terms: GrantedTerms;
+};
+
+/** A request that is under way. */
+type Admitted = Routed & {
 	readonly job: JobKey | undefined;
 	readonly requestId: RequestId;
 	readonly traceparent: string;
 	readonly answer: FinalAnswer;
-	readonly response: ServerResponse;
 };
 
 /** Capacity was lacking: the team's token is given back. */
@@ -61,6 +65,7 @@
 export class CallServer {
 	readonly #options: CallServerOptions;
 	readonly #ids = new RequestIds();
+	readonly #attemptsOf = new WeakMap<FinalAnswer, CallAttempts>();
 	#routes: RequestListener;
 	#isDraining = false;
 
@@ -139,22 +144,22 @@
 			return;
 		}
 
-		void this.#serve(this.#admit(request, response, route, terms, fields.job));
+		void this.#serve(this.#admit({
+			request, response, route, terms,
+		}, fields.job));
 	}
 
-	#admit(request: IncomingMessage, response: ServerResponse, route: Route, terms: GrantedTerms, job: JobKey | undefined): Admitted {
+	#admit(routed: Routed, job: JobKey | undefined): Admitted {
+		const {response, route, terms} = routed;
 		const requestId = this.#ids.next();
 		const traceparent = createTraceparent(terms.traceparent);
 		const start = this.#options.dependencies.clock.now();
 		const isJob = job !== undefined && terms.team !== undefined && !route.idempotent;
 		const admitted: Admitted = {
-			request,
-			route,
-			terms,
+			...routed,
 			job: isJob ? job : undefined,
 			requestId,
 			traceparent,
-			response,
 			answer: new FinalAnswer(response, end => {
 				this.#finish(admitted, end, start);
 			}),
@@ -256,8 +261,6 @@
 		attempts.start();
 	}
 
-	readonly #attemptsOf = new WeakMap<FinalAnswer, CallAttempts>();
-
 	#entryCall(admitted: Admitted, body: RequestBody): EntryCall {
 		const {request, route, terms, requestId, traceparent, job} = admitted;
 		const {secret, team} = terms;
@@ -270,7 +273,7 @@
 			route,
 			priority: terms.priority,
 			deadline: terms.deadline,
-			retries: terms.retries,
+			maximumAttempts: terms.attempts,
 			depth: terms.depth,
 			traceparent,
 			...(job === undefined ? {} : {job: {job, fingerprint: fingerprintJob(method, path, body.open() as Uint8Array | undefined)}}),
@@ -308,7 +311,7 @@
 		const {terms, requestId, route, request, traceparent, answer} = admitted;
 		const {fleet, observer, clock} = this.#options.dependencies;
 		const attempts = this.#attemptsOf.get(answer);
-		terms.parent?.returnRetries(attempts?.retriesLeft ?? terms.retries);
+		terms.parent?.returnRetries(attempts?.retriesLeft ?? terms.attempts - 1);
 		if (terms.isCharged) {
 			settleCharge(fleet, requestId, end);
 			this.#count(terms.team, end);
--- a/packages/node/src/_lib/call-table/index.ts
+++ b/packages/node/src/_lib/call-table/index.ts
@@ -5,36 +5,36 @@
 */
 
 import type {CallContext} from '@fireflyglade/model';
+import {SharedAttempts} from '@fireflyglade/routing';
 import {createContextToken} from '../request-ids/index.js';
 import {readTraceId} from '../trace-context/index.js';
 
 /** A request that runs in the gate. */
 export class RunningRequest {
-	readonly context: CallContext;
 	readonly token = createContextToken();
 	readonly #children = new Set<() => void>();
-	#retriesLeft: number;
+	readonly #attempts: SharedAttempts;
 
-	constructor(context: CallContext) {
-		this.context = context;
-		this.#retriesLeft = Math.max(0, context.remainingAttempts - 1);
+	constructor(readonly context: CallContext) {
+		this.#attempts = new SharedAttempts(context.remainingAttempts);
 	}
 
 	/** Retries of the call tree that no call below has taken. */
 	get retriesLeft(): number {
-		return this.#retriesLeft;
+		return this.#attempts.unspent;
 	}
 
-	/** Takes up to `wanted` retries for a call below; what it leaves unused comes back. */
-	takeRetries(wanted: number): number {
-		const taken = Math.min(wanted, this.#retriesLeft);
-		this.#retriesLeft -= taken;
-		return taken;
+	/** Takes up to `wanted` attempts for a call below, its first counted; retries that it leaves unused come back. */
+	takeAttempts(wanted: number): number {
+		const taken = this.#attempts.take();
+		const granted = Math.max(1, Math.min(wanted, taken));
+		this.#attempts.giveBack(taken - granted);
+		return granted;
 	}
 
 	/** Takes unused retries back. */
 	returnRetries(count: number): void {
-		this.#retriesLeft += count;
+		this.#attempts.giveBack(count);
 	}
 
 	/** Registers a call below, to be cancelled with this request; returns a function that ends this. */
@@ -94,7 +94,7 @@
 	Finds the request that a call belongs to. The token decides; a trace id does
 	only while all requests of that trace have the same root.
 	*/
-	find(token: string | undefined, traceparent: string | undefined): RunningRequest | undefined {
+	findParent(token: string | undefined, traceparent: string | undefined): RunningRequest | undefined {
 		if (token !== undefined) {
 			return this.#byToken.get(token);
 		}
--- a/packages/node/src/_lib/caller-identity/index.ts
+++ b/packages/node/src/_lib/caller-identity/index.ts
@@ -73,7 +73,7 @@
 		return refuse('key-unknown', 'the field authorization holds no key of the form "Bearer <key>"');
 	}
 
-	const lookup = keys.find(secret);
+	const lookup = keys.lookUp(secret);
 	if (lookup.kind === 'unknown') {
 		return refuse('key-unknown', 'the key is unknown or was withdrawn');
 	}
@@ -100,5 +100,7 @@
 		return undefined;
 	}
 
-	return {code: 'cut-off', outcome: 'not-run', detail: 'the failure domain is cut off and the keys are no longer fresh', retryAfterMilliseconds: keyFreshnessMilliseconds};
+	return {
+		code: 'cut-off', outcome: 'not-run', detail: 'the failure domain is cut off and the keys are no longer fresh', retryAfterMilliseconds: keyFreshnessMilliseconds,
+	};
 }
--- a/packages/node/src/_lib/caller-policy/index.ts
+++ b/packages/node/src/_lib/caller-policy/index.ts
@@ -12,7 +12,6 @@
 
 /** The terms of callers' requests. */
 export class CallerPolicy implements CallPolicy {
-	readonly side = 'caller';
 	readonly #fleet: Fleet;
 	#keys: KeyTable;
 
@@ -21,6 +20,10 @@
 		this.#keys = this.#createKeys(fleet.configuration());
 	}
 
+	get side(): 'caller' {
+		return 'caller';
+	}
+
 	setConfiguration(configuration: Configuration): void {
 		this.#keys = this.#createKeys(configuration);
 	}
@@ -43,7 +46,7 @@
 			...(identity.secret === undefined ? {} : {secret: identity.secret}),
 			priority: route.priority,
 			deadline: now + timeoutMilliseconds,
-			retries: route.retryLimit,
+			attempts: route.retryLimit + 1,
 			depth: 0,
 			...(typeof traceparent === 'string' ? {traceparent} : {}),
 			isCharged: identity.kind === 'team',
--- a/packages/node/src/_lib/egress-policy/index.ts
+++ b/packages/node/src/_lib/egress-policy/index.ts
@@ -16,13 +16,16 @@
 
 /** The terms of calls that the upstream makes. */
 export class EgressPolicy implements CallPolicy {
-	readonly side = 'egress';
 	readonly #calls: CallTable;
 
 	constructor(calls: CallTable) {
 		this.#calls = calls;
 	}
 
+	get side(): 'egress' {
+		return 'egress';
+	}
+
 	setConfiguration(): void {
 		// Keys play no part here.
 	}
@@ -30,7 +33,7 @@
 	decide(request: IncomingMessage, route: Route, timeoutMilliseconds: number, now: number): CallTerms {
 		const {traceparent, authorization} = request.headers;
 		const token = request.headers[contextField];
-		const parent = this.#calls.find(
+		const parent = this.#calls.findParent(
 			typeof token === 'string' ? token : undefined,
 			typeof traceparent === 'string' ? traceparent : undefined,
 		);
@@ -58,7 +61,7 @@
 	}
 
 	return {
-		kind: 'granted', priority: lowestPriority, deadline, retries: 0, depth: 1, ...common,
+		kind: 'granted', priority: lowestPriority, deadline, attempts: 1, depth: 1, ...common,
 	};
 }
 
@@ -82,7 +85,7 @@
 		rootId,
 		priority,
 		deadline: Math.min(deadline, parentDeadline),
-		retries: parent.takeRetries(route.retryLimit),
+		attempts: parent.takeAttempts(route.retryLimit + 1),
 		depth: depth + 1,
 		parent,
 		...common,
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -8,7 +8,9 @@
 	UnreachableError,
 	type Problem, type ProblemCode, type Timer,
 } from '@fireflyglade/model';
-import type {ClaimOutcome, ClaimRequest, ClaimResult, StoredAnswer} from '@fireflyglade/state';
+import type {
+	ClaimOutcome, ClaimRequest, ClaimResult, StoredAnswer,
+} from '@fireflyglade/state';
 import {
 	BodyTooLargeError,
 	type AnswerFlow, type AnswerHead, type AnswerReceiver, type HeaderFields, type RunningSend, type SendFailure,
@@ -27,13 +29,13 @@
 type Stage = 'new' | 'waiting' | 'claiming' | 'running' | 'answering' | 'ended';
 
 const firstFailureStatus = 500;
+const claimRetryMilliseconds = 1000;
 const draining: Problem = {
 	code: 'draining', outcome: 'not-run', detail: 'the upstream takes no new work', retryAfterMilliseconds: 0,
 };
 
 /** One request in the gate. */
 export class GateExchange implements RunningCall, AnswerReceiver {
-	readonly call: GateCall;
 	readonly #gate: Gate;
 	#receiver: CallReceiver;
 	#flow: AnswerFlow | undefined;
@@ -47,8 +49,7 @@
 	#deadlineTimer: Timer | undefined;
 	#startedAt = 0;
 
-	constructor(call: GateCall, receiver: CallReceiver, gate: Gate) {
-		this.call = call;
+	constructor(readonly call: GateCall, receiver: CallReceiver, gate: Gate) {
 		this.#receiver = receiver;
 		this.#gate = gate;
 	}
@@ -202,7 +203,7 @@
 		} catch {
 			// The claim may still be committed after the answer was lost, so it is given back.
 			this.#endUnsent('cancelled', {
-				code: 'no-quorum', outcome: 'not-run', detail: 'the job could not be claimed, as no quorum of the control processes answered', retryAfterMilliseconds: 1000,
+				code: 'no-quorum', outcome: 'not-run', detail: 'the job could not be claimed, as no quorum of the control processes answered', retryAfterMilliseconds: claimRetryMilliseconds,
 			});
 			return;
 		}
@@ -243,6 +244,11 @@
 				return;
 			}
 
+			case 'table-full': {
+				this.#endClaimless();
+				return;
+			}
+
 			case 'mismatch': {
 				this.#endRefusedClaim('job-mismatch', 'the idempotency key was used for another request');
 				return;
@@ -260,6 +266,15 @@
 		this.#receiver.onProblem({code, outcome: code === 'job-mismatch' ? 'not-run' : 'unknown', detail}, this.#note(this.#unusedRetries()));
 	}
 
+	#endClaimless(): void {
+		const retriesLeft = this.#unusedRetries();
+		this.#gate.outcomes.record(this.call.context.requestId, 'not-run', this.#now());
+		this.#release('cancelled');
+		this.#receiver.onProblem({
+			code: 'overloaded', outcome: 'not-run', detail: 'the control processes keep no more jobs at present', retryAfterMilliseconds: claimRetryMilliseconds,
+		}, this.#note(retriesLeft));
+	}
+
 	#replay(answer: StoredAnswer): void {
 		this.#release('cancelled');
 		replayAnswer(answer, this.#receiver, this.#note(this.#unusedRetries()));
@@ -281,9 +296,12 @@
 		const {team, deadline, traceparent} = this.call.context;
 		const fields = [
 			...this.call.headers,
-			'traceparent', createTraceparent(traceparent),
-			contextField, this.#running!.token,
-			timeoutField, String(Math.max(1, Math.floor(deadline - this.#now()))),
+			'traceparent',
+			createTraceparent(traceparent),
+			contextField,
+			this.#running!.token,
+			timeoutField,
+			String(Math.max(1, Math.floor(deadline - this.#now()))),
 		];
 		if (team !== undefined) {
 			fields.push(teamField, team);
@@ -392,7 +410,7 @@
 	#claimRequest(): ClaimRequest {
 		const {context, job} = this.call;
 		return {
-			team: context.team!, job: job!.job, requestId: context.requestId, gate: this.#gate.options.node, fingerprint: job!.fingerprint,
+			team: context.team!, job: job!.job, requestId: context.requestId, gate: this.#gate.options.node, gateIncarnation: this.#gate.incarnation, fingerprint: job!.fingerprint,
 		};
 	}
 
--- a/packages/node/src/_lib/key-table/index.ts
+++ b/packages/node/src/_lib/key-table/index.ts
@@ -32,7 +32,7 @@
 	}
 
 	/** Looks up a secret; a withdrawn key is unknown. */
-	find(secret: string): KeyLookup {
+	lookUp(secret: string): KeyLookup {
 		const key = this.#keys.get(digestSecret(secret));
 		if (key === undefined || this.#isWithdrawn(key.id)) {
 			return {kind: 'unknown'};
--- a/packages/node/src/_lib/peer-fields/index.ts
+++ b/packages/node/src/_lib/peer-fields/index.ts
@@ -77,7 +77,7 @@
 */
 export function parsePeerCall(value: string): PeerCall {
 	const parts = value.split(' ');
-	if (parts.length !== partCount || parts.some(part => part === '')) {
+	if (parts.length !== partCount || parts.includes('')) {
 		throw new InvalidInputError('the call of a peer is malformed');
 	}
 
--- a/packages/node/src/_lib/remote-gate/index.ts
+++ b/packages/node/src/_lib/remote-gate/index.ts
@@ -110,9 +110,12 @@
 			path,
 			headers: [
 				...this.#call.headers,
-				'traceparent', context.traceparent,
-				fleetTokenField, this.#options.fleetToken,
-				callField, this.#formatCall(),
+				'traceparent',
+				context.traceparent,
+				fleetTokenField,
+				this.#options.fleetToken,
+				callField,
+				this.#formatCall(),
 			],
 			body,
 			bodyLength,
@@ -233,7 +236,7 @@
 
 const unreachableGate: Problem = {code: 'no-upstream', outcome: 'not-run', detail: 'the gate could not be reached'};
 
-function readProblem(head: AnswerHead, body: Buffer): Problem {
+function readProblem(head: AnswerHead, body: Uint8Array): Problem {
 	const code = parseProblemCode(head.headers)!;
 	const outcome = head.headers['fireflyglade-outcome'] === 'not-run' ? 'not-run' : 'unknown';
 	const retryAfterMilliseconds = parseNumberField(head.headers, retryAfterField);
@@ -242,9 +245,9 @@
 	};
 }
 
-function readDetail(body: Buffer): string {
+function readDetail(body: Uint8Array): string {
 	try {
-		const parsed = JSON.parse(body.toString()) as {detail?: unknown};
+		const parsed = JSON.parse(Buffer.from(body).toString()) as {detail?: unknown};
 		return typeof parsed.detail === 'string' ? parsed.detail : 'the gate refused the request';
 	} catch {
 		return 'the gate refused the request';
--- a/packages/node/src/_lib/route-table/index.ts
+++ b/packages/node/src/_lib/route-table/index.ts
@@ -27,25 +27,25 @@
 
 /** Builds the request listener that finds the routes of a configuration. */
 export function createRouteListener(configuration: Configuration, handler: RouteHandler): RequestListener {
-	const application = new H3({silent: true});
+	const router = new H3({silent: true});
 	const paths = new Set<string>();
 	for (const route of configuration.routes.values()) {
-		application.on(route.method as HTTPMethod, route.path, serveWith({kind: 'route', route}, handler));
+		router.on(route.method as HTTPMethod, route.path, serveWith({kind: 'route', route}, handler));
 		paths.add(route.path);
 		if (route.method === 'GET' && !configuration.routes.has(createRouteId('HEAD', route.path))) {
-			application.on('HEAD', route.path, serveWith({kind: 'route', route}, handler));
+			router.on('HEAD', route.path, serveWith({kind: 'route', route}, handler));
 		}
 	}
 
 	for (const path of paths) {
-		application.all(path, serveWith(otherMethod, handler));
+		router.all(path, serveWith(otherMethod, handler));
 	}
 
 	if (!paths.has('/**')) {
-		application.all('/**', serveWith(noRoute, handler));
+		router.all('/**', serveWith(noRoute, handler));
 	}
 
-	return toNodeHandler(application) as RequestListener;
+	return toNodeHandler(router);
 }
 
 function serveWith(match: RouteMatch, handler: RouteHandler): (event: H3Event) => Promise<symbol> {
--- a/packages/node/src/announce-listener/index.ts
+++ b/packages/node/src/announce-listener/index.ts
@@ -35,10 +35,10 @@
 	constructor(clock: Clock, handlers: AnnouncementHandlers) {
 		this.#clock = clock;
 		this.#handlers = handlers;
-		const application = new H3({silent: true});
-		application.post('/announce', async event => this.#announce(event));
-		application.delete('/announce', () => this.#leave());
-		this.listener = toNodeHandler(application) as RequestListener;
+		const router = new H3({silent: true});
+		router.post('/announce', async event => this.#announce(event));
+		router.delete('/announce', () => this.#leave());
+		this.listener = toNodeHandler(router);
 	}
 
 	/** Stops the watch over silence. */
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -9,7 +9,7 @@
 	type Clock, type Problem,
 } from '@fireflyglade/model';
 import {
-	AnswerWriter, selectRequestFields, writeProblem,
+	AnswerWriter, readWholeBody, selectRequestFields, writeProblem,
 	type AnswerFlow, type AnswerHead, type HeaderFields, type OutgoingBody,
 } from '@fireflyglade/transport';
 import type {Gate} from '../gate/index.js';
@@ -21,7 +21,6 @@
 	type PeerCall,
 } from '../_lib/peer-fields/index.js';
 import {readFraming, wholeBodyBytes} from '../_lib/request-body/index.js';
-import {readWholeBody} from '@fireflyglade/transport';
 
 /** What the gate's listener is given. */
 export type GateListenerOptions = {
@@ -104,7 +103,7 @@
 				deadline: this.#clock.now() + timeoutMilliseconds,
 				remainingAttempts,
 				depth,
-				traceparent: String(request.headers['traceparent'] ?? ''),
+				traceparent: String(request.headers.traceparent ?? ''),
 			},
 			idempotent,
 			...(job === undefined ? {} : {job}),
--- a/packages/node/src/gate/index.ts
+++ b/packages/node/src/gate/index.ts
@@ -3,10 +3,11 @@
 to it, and so the only place that knows whether work ran.
 */
 
+import {randomUUID} from 'node:crypto';
 import type {Admission, AdmissionDecision, AdmissionOptions} from '@fireflyglade/admission';
 import {
 	createUpstreamId,
-	type Clock, type GateLevel, type NodeId, type ServiceName, type Timer, type UpstreamId,
+	type Clock, type GateLevel, type NodeId, type ServiceName, type TeamName, type Timer, type UpstreamId,
 } from '@fireflyglade/model';
 import {HttpSender, type OutcomeAnswer, type OutcomeQuestion} from '@fireflyglade/transport';
 import type {JobClaims, NodeObserver} from '../dependencies.js';
@@ -49,15 +50,15 @@
 export class Gate implements CallRunner {
 	readonly calls = new CallTable();
 	readonly outcomes: OutcomeTable;
-	readonly options: GateOptions;
+	/** Differs at each start of the process. */
+	readonly incarnation = randomUUID();
 	readonly #exchanges = new Map<string, GateExchange>();
 	#upstream: GateUpstream | undefined;
 	#ticker: Timer | undefined;
-	#weights: ReadonlyMap<never, number> | Parameters<Admission['setTeamWeights']>[0] = new Map();
+	#weights: ReadonlyMap<TeamName, number> = new Map();
 	#isDraining = false;
 
-	constructor(options: GateOptions) {
-		this.options = options;
+	constructor(readonly options: GateOptions) {
 		this.outcomes = new OutcomeTable(options.clock.now());
 	}
 
@@ -121,7 +122,7 @@
 	}
 
 	/** Sets the weight of each team for the fairness between teams. */
-	setTeamWeights(weights: Parameters<Admission['setTeamWeights']>[0]): void {
+	setTeamWeights(weights: ReadonlyMap<TeamName, number>): void {
 		this.#weights = weights;
 		this.#upstream?.admission.setTeamWeights(weights);
 	}
--- a/packages/node/src/status-listener/index.ts
+++ b/packages/node/src/status-listener/index.ts
@@ -17,16 +17,16 @@
 
 /** Serves `/healthz`, `/readyz` and `/metrics`. */
 export function createStatusListener(source: StatusSource): RequestListener {
-	const application = new H3({silent: true});
-	application.get('/healthz', () => ({alive: true}));
-	application.get('/readyz', event => {
+	const router = new H3({silent: true});
+	router.get('/healthz', () => ({alive: true}));
+	router.get('/readyz', event => {
 		const ready = source.isReady();
 		event.res.status = ready ? 200 : unavailableStatus;
 		return {ready};
 	});
-	application.get('/metrics', async event => {
+	router.get('/metrics', async event => {
 		event.res.headers.set('content-type', metricsMediaType);
 		return source.renderMetrics();
 	});
-	return toNodeHandler(application) as RequestListener;
+	return toNodeHandler(router);
 }
--- /dev/null
+++ b/packages/node/src/test-support/index.ts
@@ -0,0 +1,369 @@
+/**
+Small fakes for the tests of a node: a fleet that stands still, and an upstream
+that records what reached it.
+*/
+
+import {createHash} from 'node:crypto';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {GateAdmission} from '@fireflyglade/admission';
+import type {Connectivity} from '@fireflyglade/membership';
+import {
+	createFailureDomain, createNodeId, createRouteId, createServiceName, createTeamName, emptyConfiguration, SeededRandom, SystemClock,
+	type Configuration, type Key, type KeyDigest, type KeyId, type RequestId, type Revision, type Route, type Target, type Team, type TeamName,
+} from '@fireflyglade/model';
+import type {ChargeOutcome} from '@fireflyglade/rates';
+import {NodeRetryBudget, TargetRouting} from '@fireflyglade/routing';
+import type {NodeSettings} from '@fireflyglade/settings';
+import type {ClaimOutcome, ClaimRequest, ClaimResult} from '@fireflyglade/state';
+import type {OutcomeAnswer, OutcomeQuestion, TeamFigures} from '@fireflyglade/transport';
+import {request} from 'undici';
+import {createNode, type RunningNode} from '../create-node/index.js';
+import type {
+	FinishedRequest, HopSpan, JobClaims, NodeDependencies, NodeObserver,
+} from '../dependencies.js';
+import type {Fleet} from '../types.js';
+
+export const fleetToken = 'fleet-token-of-the-tests';
+export const secretOfRed = 'red-secret-0123456789abcdef';
+export const secretOfBlue = 'blue-secret-0123456789abcdef';
+export const red = createTeamName('red');
+export const blue = createTeamName('blue');
+
+function createTeam(name: TeamName): Team {
+	return {name, ratePerSecond: 100, burst: 100};
+}
+
+function createKey(id: string, team: TeamName, secret: string): Key {
+	return {
+		id: id as KeyId, team, digest: createHash('sha256').update(secret).digest('hex') as KeyDigest, withdrawn: false,
+	};
+}
+
+/** Makes a route with defaults for whatever is not given. */
+export function createRoute(method: string, path: string, change: Partial<Route> = {}): Route {
+	return {
+		id: createRouteId(method, path),
+		method,
+		path,
+		service: createServiceName('orders'),
+		priority: 5,
+		idempotent: method === 'GET',
+		open: false,
+		retryLimit: 2,
+		timeoutMilliseconds: 5000,
+		whenCutOff: 'serve',
+		...change,
+	};
+}
+
+/** Makes a configuration with two teams and the given routes. */
+export function createConfiguration(routes: readonly Route[]): Configuration {
+	const keys = [createKey('key-red', red, secretOfRed), createKey('key-blue', blue, secretOfBlue)];
+	return {
+		...emptyConfiguration,
+		revision: 1 as Revision,
+		teams: new Map([[red, createTeam(red)], [blue, createTeam(blue)]]),
+		keys: new Map(keys.map(key => [key.id, key])),
+		routes: new Map(routes.map(route => [route.id, route])),
+	};
+}
+
+/** What several nodes of a test share: configuration and announced targets. */
+export class SharedFleet {
+	readonly targets = new Map<string, Target>();
+	readonly withdrawn = new Set<KeyId>();
+	readonly refunded: RequestId[] = [];
+	readonly settled: RequestId[] = [];
+	connectivity: Connectivity = {kind: 'connected'};
+	chargeOutcome: ChargeOutcome = {kind: 'admitted'};
+	readonly #listeners = new Set<() => void>();
+
+	constructor(public configuration: Configuration) {}
+
+	/** Tells every node that something changed. */
+	notify(): void {
+		for (const listener of this.#listeners) {
+			listener();
+		}
+	}
+
+	/** The fleet as one node sees it. */
+	viewOf(node: string): Fleet & {figures: () => readonly TeamFigures[]} {
+		let figures: () => readonly TeamFigures[] = () => [];
+		return {
+			configuration: () => this.configuration,
+			isKeyWithdrawn: id => this.withdrawn.has(id),
+			connectivity: () => this.connectivity,
+			targets: () => [...this.targets.values()],
+			charge: async () => this.chargeOutcome,
+			refund: requestId => {
+				this.refunded.push(requestId);
+			},
+			settle: requestId => {
+				this.settled.push(requestId);
+			},
+			onChange: listener => {
+				this.#listeners.add(listener);
+				return () => {
+					this.#listeners.delete(listener);
+				};
+			},
+			announceTarget: target => {
+				if (target === undefined) {
+					this.targets.delete(node);
+				} else {
+					this.targets.set(node, target);
+				}
+
+				this.notify();
+			},
+			setLevelSource() {
+				// The tests ask the gate itself.
+			},
+			setFiguresSource(source) {
+				figures = source;
+			},
+			figures: () => figures(),
+		};
+	}
+}
+
+/** Claims in memory, by the rules of the replicated log. */
+export class MemoryClaims implements JobClaims {
+	readonly outcomes = new Map<string, ClaimOutcome | 'running'>();
+	hasQuorum = true;
+
+	async begin(claim: ClaimRequest): Promise<ClaimResult> {
+		if (!this.hasQuorum) {
+			throw new Error('no quorum');
+		}
+
+		const known = this.outcomes.get(claim.job);
+		if (known === 'running') {
+			return {kind: 'running'};
+		}
+
+		if (known?.kind === 'answered') {
+			return {kind: 'answered', answer: known.answer};
+		}
+
+		if (known?.kind === 'unknown') {
+			return {kind: 'outcome-unknown'};
+		}
+
+		this.outcomes.set(claim.job, 'running');
+		return {kind: 'granted'};
+	}
+
+	async finish(claim: ClaimRequest, outcome: ClaimOutcome): Promise<void> {
+		this.outcomes.set(claim.job, outcome);
+	}
+}
+
+/** Keeps what it is told. */
+export class RecordingObserver implements NodeObserver {
+	readonly finished: FinishedRequest[] = [];
+	readonly hops: HopSpan[] = [];
+
+	requestFinished(finished: FinishedRequest): void {
+		this.finished.push(finished);
+	}
+
+	hopFinished(span: HopSpan): void {
+		this.hops.push(span);
+	}
+
+	async renderMetrics(): Promise<string> {
+		return '';
+	}
+}
+
+function createSettings(name: string, change: Partial<NodeSettings>): NodeSettings {
+	const any = '127.0.0.1:0';
+	return {
+		node: createNodeId(name),
+		domain: createFailureDomain('north'),
+		callersAddress: any,
+		gateAddress: any,
+		rpcAddress: any,
+		announceAddress: any,
+		egressAddress: any,
+		statusAddress: any,
+		control: [],
+		seeds: [],
+		security: {kind: 'token', tokenFile: ''},
+		limits: {
+			maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000_000, maximumPathBytes: 2048, maximumConnections: 1000,
+		},
+		shutdownTimeoutMilliseconds: 4000,
+		log: {level: 'error', format: 'json'},
+		...change,
+	};
+}
+
+/** Nodes of one test, which ask each other for outcomes without RPC. */
+export class TestFleet {
+	readonly shared: SharedFleet;
+	readonly claims = new MemoryClaims();
+	readonly observer = new RecordingObserver();
+	readonly nodes = new Map<string, RunningNode>();
+	/** False makes every question about an outcome fail. */
+	answersOutcomes = true;
+	readonly #upstreams: RecordingUpstream[] = [];
+
+	constructor(routes: readonly Route[]) {
+		this.shared = new SharedFleet(createConfiguration(routes));
+	}
+
+	/** Starts a node. */
+	async startNode(name: string, change: Partial<NodeDependencies> = {}, settings: Partial<NodeSettings> = {}): Promise<RunningNode> {
+		const domain = createFailureDomain('north');
+		const node = await createNode({
+			settings: createSettings(name, settings),
+			fleetToken,
+			rpcAddress: name,
+			fleet: this.shared.viewOf(name),
+			createAdmission: options => new GateAdmission({...options, cold: false}),
+			routing: new TargetRouting({domain, node: createNodeId(name)}),
+			retryBudget: new NodeRetryBudget(),
+			claims: this.claims,
+			outcomes: {
+				ask: async (address, question) => this.#ask(address, question),
+			},
+			observer: this.observer,
+			clock: new SystemClock(),
+			random: new SeededRandom(1),
+			...change,
+		});
+		this.nodes.set(name, node);
+		return node;
+	}
+
+	/** Starts an upstream that announces itself to a node. */
+	async startUpstream(node: RunningNode, service = 'orders', slots = 300): Promise<RecordingUpstream> {
+		const upstream = new RecordingUpstream();
+		await upstream.start();
+		this.#upstreams.push(upstream);
+		await announce(node, {service, address: upstream.address, slots});
+		return upstream;
+	}
+
+	/** Stops all that was started. */
+	async stop(): Promise<void> {
+		await Promise.all([...this.nodes.values()].map(async node => node.stop()));
+		await Promise.all(this.#upstreams.map(async upstream => upstream.stop()));
+	}
+
+	async #ask(address: string, question: OutcomeQuestion): Promise<OutcomeAnswer> {
+		const node = this.nodes.get(address);
+		if (!this.answersOutcomes || node === undefined) {
+			throw new Error('no answer');
+		}
+
+		return node.answerOutcome(question);
+	}
+}
+
+/** Announces an upstream to a node. */
+export async function announce(node: RunningNode, upstream: {readonly service: string; readonly address: string; readonly slots: number}): Promise<number> {
+	const answer = await request(`http://${node.addresses.announce}/announce`, {
+		method: 'POST',
+		headers: {'content-type': 'application/json'},
+		body: JSON.stringify({...upstream, connections: 400}),
+	});
+	await answer.body.dump();
+	return answer.statusCode;
+}
+
+/** One request as it reached an upstream. */
+export type ReceivedRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: IncomingMessage['headers'];
+	readonly rawHeaders: readonly string[];
+	body: string;
+	/** True if the connection closed before the answer was written. */
+	isCancelled: boolean;
+};
+
+/** How an upstream serves a request. */
+export type UpstreamHandler = (message: IncomingMessage, response: ServerResponse, received: ReceivedRequest) => void;
+
+/** An upstream that records what reached it. */
+export class RecordingUpstream {
+	readonly received: ReceivedRequest[] = [];
+	handler: UpstreamHandler = answerReceived;
+	readonly #server: Server;
+
+	constructor() {
+		this.#server = createServer({keepAliveTimeout: 60_000}, (message, response) => {
+			this.#serve(message, response);
+		});
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	async stop(): Promise<void> {
+		this.#server.closeAllConnections();
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	#serve(message: IncomingMessage, response: ServerResponse): void {
+		const received: ReceivedRequest = {
+			method: message.method ?? '',
+			path: message.url ?? '',
+			headers: message.headers,
+			rawHeaders: message.rawHeaders,
+			body: '',
+			isCancelled: false,
+		};
+		this.received.push(received);
+		response.on('error', () => {
+			received.isCancelled = true;
+		});
+		response.on('close', () => {
+			received.isCancelled ||= !response.writableFinished;
+		});
+		message.on('error', () => {
+			received.isCancelled = true;
+		});
+		this.handler(message, response, received);
+	}
+}
+
+/** Reads the body and answers what was received as JSON. */
+export function answerReceived(message: IncomingMessage, response: ServerResponse, received: ReceivedRequest): void {
+	message.setEncoding('utf8');
+	message.on('data', (chunk: string) => {
+		received.body += chunk;
+	});
+	message.on('end', () => {
+		const text = JSON.stringify(received);
+		response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
+		response.end(text);
+	});
+}
+
+/** Waits until `condition` holds. */
+export async function waitUntil(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
--- a/packages/transport/src/http-answer/index.ts
+++ b/packages/transport/src/http-answer/index.ts
@@ -43,7 +43,7 @@
 	end(trailers: HeaderFields, extraTrailers?: Readonly<Record<string, string>>): void {
 		const selected = Object.assign(selectAnswerFields(trailers), extraTrailers);
 		if (Object.keys(selected).length > 0) {
-			this.#response.addTrailers(selected as Record<string, string>);
+			this.#response.addTrailers(selected);
 		}
 
 		this.#response.end();
--- a/packages/transport/src/http-fields/index.ts
+++ b/packages/transport/src/http-fields/index.ts
@@ -11,8 +11,15 @@
 export const systemFieldPrefix = 'fireflyglade-';
 
 const connectionFields: ReadonlySet<string> = new Set([
-	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection',
-	'te', 'transfer-encoding', 'upgrade', 'http2-settings',
+	'connection',
+	'keep-alive',
+	'proxy-authenticate',
+	'proxy-authorization',
+	'proxy-connection',
+	'te',
+	'transfer-encoding',
+	'upgrade',
+	'http2-settings',
 ]);
 
 const requestFieldsSetAnew: ReadonlySet<string> = new Set([
--- a/packages/transport/src/http-sender/index.ts
+++ b/packages/transport/src/http-sender/index.ts
@@ -64,11 +64,11 @@
 
 		try {
 			this.#pool.dispatch({
-				method: request.method as Dispatcher.HttpMethod,
+				method: request.method,
 				path: request.path,
 				headers: request.headers,
-				// eslint-disable-next-line @typescript-eslint/no-restricted-types -- the library takes null for a request without a body
-				body: (request.body ?? null) as Buffer | null,
+
+				body: (request.body ?? null),
 			}, exchange);
 		} catch (error) {
 			exchange.onResponseError(undefined, error as Error);
