Add gossip membership with leased roles

Cause: nodes need to know one another, who holds their domain's roles, and whether they are cut off, with no disk and no front tier.

Change: a failure detector after SWIM within a domain, rumors that ride on probes and are pushed at once where they matter, exchange between domains through the three gateways that each member computes, digests that find what gossip missed, and roles leased by a majority of the domain's witnesses. A lease notice carries the revision that a majority of the witnesses reached, so that a later holder never starts from an older configuration. RoleLease has two more fields for that.

Conclusion: enough to build rates and the fleet runtime on; sizes beyond a few dozen members aren't measured yet.

--- /dev/null
+++ b/packages/membership/src/gossip-membership/test.ts
@@ -0,0 +1,129 @@
+import {expect} from 'chai';
+import {createFailureDomain, type KeyId} from '@fireflyglade/model';
+import {
+	configurationOf, Network, nodeOf, selfOf,
+} from '../test-support/network/index.js';
+import type {GossipMembership} from './index.js';
+
+const north = createFailureDomain('north');
+
+function startFleet(domains: readonly string[], perDomain: number): Network {
+	const network = new Network();
+	for (const domain of domains) {
+		for (let index = 0; index < perDomain; index++) {
+			const seeds = domains.map(other => selfOf(other, 0).rpcAddress);
+			network.start(selfOf(domain, index), seeds);
+		}
+	}
+
+	const configuration = configurationOf(1, domains);
+	for (const [address, member] of network.members) {
+		network.take(address, member.setConfiguration(configuration, network.now));
+	}
+
+	return network;
+}
+
+function every(network: Network, check: (member: GossipMembership) => boolean): boolean {
+	return [...network.members.values()].every(member => check(member));
+}
+
+function memberState(member: GossipMembership, node: string): string | undefined {
+	return member.members().find(view => view.description.node === node)?.state;
+}
+
+describe('GossipMembership', () => {
+	it('lets every node of every domain know all others within seconds', () => {
+		const network = startFleet(['north', 'south', 'west'], 5);
+		expect(network.runUntil(() => every(network, member => member.members().length === 15), 6000)).to.be.a('number');
+	});
+
+	it('declares a node that ended dead in its domain and in others, and only that one', () => {
+		const network = startFleet(['north', 'south'], 6);
+		network.run(8000);
+		network.kill('north-4:1');
+		expect(network.runUntil(() => every(network, member => memberState(member, 'north-4') === 'dead'), 15_000)).to.be.a('number');
+		const others = [...network.members.values()].flatMap(member => member.members()).filter(view => view.state !== 'alive');
+		expect(new Set(others.map(view => view.description.node))).to.deep.equal(new Set(['north-4']));
+	});
+
+	it('lets a node that restarted take part again', () => {
+		const network = startFleet(['north'], 4);
+		network.run(4000);
+		network.kill('north-3:1');
+		network.run(12_000);
+		network.start(selfOf('north', 3), ['north-0:1']);
+		expect(network.runUntil(() => every(network, member => memberState(member, 'north-3') === 'alive'), 8000)).to.be.a('number');
+	});
+
+	it('gives each domain one holder, and never two under cuts and deaths', () => {
+		const network = startFleet(['north', 'south'], 5);
+		network.run(6000);
+		expect(network.holders(north)).to.have.length(1);
+		for (let round = 0; round < 12; round++) {
+			const [holder] = network.holders(north);
+			network.isLost = (from, to) => holder !== undefined && (from === `${holder}:1` || to === `${holder}:1`);
+			for (let step = 0; step < 100; step++) {
+				network.run(50);
+				expect(network.holders(north).length).to.be.at.most(1);
+			}
+
+			network.isLost = () => false;
+			network.run(round * 130);
+		}
+
+		network.run(5000);
+		expect(network.holders(north)).to.have.length(1);
+	});
+
+	it('raises the fencing number with each new holder', () => {
+		const network = startFleet(['north'], 5);
+		network.run(5000);
+		const witness = network.members.get('north-4:1')!;
+		const before = witness.lease('holder', north, network.now)!;
+		network.kill(`${before.holder}:1`);
+		expect(network.runUntil(() => (witness.lease('holder', north, network.now)?.fencing ?? 0) > before.fencing, 4000)).to.be.a('number');
+	});
+
+	it('lets the node of a domain of one hold its roles without configured witnesses', () => {
+		const network = new Network();
+		network.start(selfOf('north', 0), ['north-0:1']);
+		network.run(5000);
+		expect(network.holders(north)).to.deep.equal([nodeOf('north', 0)]);
+	});
+
+	it('spreads a withdrawn key to all domains within a second', () => {
+		const network = startFleet(['north', 'south', 'west'], 8);
+		network.run(8000);
+		network.take('north-5:1', network.members.get('north-5:1')!.withdrawKeys(['k1' as KeyId], network.now));
+		const key = 'k1' as KeyId;
+		expect(network.runUntil(() => every(network, member => member.withdrawnKeys().has(key)), 2000)).to.be.a('number');
+	});
+
+	it('tells a control outage from a cut', () => {
+		const network = startFleet(['north', 'south', 'west'], 3);
+		network.members.get('north-0:1')!.observeQuorum(0);
+		network.run(4000);
+		const member = network.members.get('north-1:1')!;
+		expect(member.connectivity(network.now).kind).to.equal('connected');
+		network.run(8000);
+		expect(member.connectivity(network.now).kind).to.equal('control-outage');
+		network.isLost = (from, to) => from.slice(0, 5) !== to.slice(0, 5);
+		network.run(12_000);
+		expect(member.connectivity(network.now).kind).to.equal('cut-off');
+		network.isLost = () => false;
+		network.run(12_000);
+		expect(member.connectivity(network.now).kind).to.equal('control-outage');
+	});
+
+	it('tells a node of a newer revision and whom to ask', () => {
+		const network = startFleet(['north', 'south'], 4);
+		network.run(5000);
+		network.events.clear();
+		const first = network.members.get('north-1:1')!;
+		network.take('north-1:1', first.setConfiguration(configurationOf(2, ['north', 'south']), network.now));
+		network.run(1000);
+		const events = [...network.events.values()].flat();
+		expect(events).to.deep.include({kind: 'newer-revision', revision: 2, rpcAddress: 'north-1:1'});
+	});
+});
--- /dev/null
+++ b/packages/membership/src/lease-board/index.ts
@@ -0,0 +1,44 @@
+/**
+What is known of the holders of leased roles in all failure domains.
+*/
+
+import type {FailureDomain, FencingNumber} from '@fireflyglade/model';
+import type {LeaseNotice} from '../_lib/messages.js';
+import type {DomainRole} from '../types.js';
+
+/** Notices of leases; the higher fencing number wins, then the higher revision. */
+export class LeaseBoard {
+	readonly #notices = new Map<string, LeaseNotice>();
+
+	/** Merges a notice; returns true if it was news. */
+	merge(notice: LeaseNotice): boolean {
+		const subject = `${notice.role} ${notice.domain}`;
+		const known = this.#notices.get(subject);
+		if (known !== undefined && !isNewer(notice, known)) {
+			return false;
+		}
+
+		this.#notices.set(subject, notice);
+		return true;
+	}
+
+	get(role: DomainRole, domain: FailureDomain): LeaseNotice | undefined {
+		return this.#notices.get(`${role} ${domain}`);
+	}
+
+	highestFencing(role: DomainRole, domain: FailureDomain): FencingNumber {
+		return this.get(role, domain)?.fencing ?? (0 as FencingNumber);
+	}
+
+	all(): Iterable<LeaseNotice> {
+		return this.#notices.values();
+	}
+}
+
+function isNewer(notice: LeaseNotice, known: LeaseNotice): boolean {
+	if (notice.fencing !== known.fencing) {
+		return notice.fencing > known.fencing;
+	}
+
+	return notice.holder === known.holder && notice.revision > known.revision;
+}
--- /dev/null
+++ b/packages/membership/src/role-office/index.ts
@@ -0,0 +1,160 @@
+/**
+The part of one node in its domain's leased roles, as witness and as candidate.
+
+Only witnesses stand: a witness knows when the lease that it granted has ended.
+They stand one after the other, in an order that differs by role.
+*/
+
+import type {
+	FencingNumber, NodeId, Revision,
+} from '@fireflyglade/model';
+import {candidacyStepMilliseconds} from '../_lib/constants.js';
+import type {Body, LeaseRequest, LeaseVote} from '../_lib/messages.js';
+import {LeaseCandidate, type OwnLease} from '../lease-candidate/index.js';
+import {LeaseWitness} from '../lease-witness/index.js';
+import type {DomainRole} from '../types.js';
+
+/** All leased roles. */
+export const domainRoles: readonly DomainRole[] = ['holder', 'relay'];
+
+/** A message to another witness of the domain. */
+export type OfficeMessage = {
+	readonly to: NodeId;
+	readonly body: Body;
+};
+
+/** What follows from a step: messages, and roles whose own lease changed. */
+export type OfficeActions = {
+	readonly messages: readonly OfficeMessage[];
+	readonly changed: readonly DomainRole[];
+};
+
+/** Witness and candidate in one. */
+export class RoleOffice {
+	readonly #node: NodeId;
+	readonly #witness: LeaseWitness;
+	readonly #candidates: ReadonlyMap<DomainRole, LeaseCandidate>;
+	readonly #freeSince = new Map<DomainRole, number>();
+	readonly #held = new Set<DomainRole>();
+	#witnesses: readonly NodeId[] = [];
+	#revision: Revision;
+	#isStanding = true;
+
+	constructor(node: NodeId, revision: Revision, incarnation: number, now: number) {
+		this.#node = node;
+		this.#revision = revision;
+		this.#witness = new LeaseWitness(now);
+		this.#candidates = new Map(domainRoles.map(role => [role, new LeaseCandidate(role, node, incarnation)]));
+	}
+
+	setRevision(revision: Revision): void {
+		this.#revision = revision;
+	}
+
+	/** Sets the domain's witnesses; `isProvisional` if the configuration names none. */
+	setWitnesses(witnesses: readonly NodeId[], isProvisional: boolean, now: number): void {
+		if (witnesses.join(' ') === this.#witnesses.join(' ')) {
+			return;
+		}
+
+		this.#witnesses = witnesses;
+		if (isProvisional) {
+			this.#witness.wait(now);
+		}
+	}
+
+	observeFencing(role: DomainRole, fencing: FencingNumber): void {
+		this.#witness.observeFencing(role, fencing);
+	}
+
+	/** The lease that this node holds, if it has not ended. */
+	ownLease(role: DomainRole, now: number): OwnLease | undefined {
+		return this.#candidates.get(role)!.lease(now);
+	}
+
+	/** Stops standing and renewing; leases run out, as tokens lent under them may still be in use. */
+	withdraw(): void {
+		this.#isStanding = false;
+	}
+
+	tick(now: number): OfficeActions {
+		const messages: OfficeMessage[] = [];
+		const changed: DomainRole[] = [];
+		for (const role of domainRoles) {
+			const request = this.#nextRequest(role, now);
+			if (request !== undefined) {
+				this.#sendToWitnesses(request, messages, changed, now);
+			}
+
+			this.#noteEnd(role, changed, now);
+		}
+
+		return {messages, changed};
+	}
+
+	receiveRequest(from: NodeId, request: LeaseRequest, now: number): OfficeActions {
+		return {messages: [{to: from, body: {kind: 'lease-vote', vote: this.#vote(request, now)}}], changed: []};
+	}
+
+	receiveVote(from: NodeId, vote: LeaseVote, now: number): OfficeActions {
+		const changed: DomainRole[] = [];
+		this.#countVote(from, vote, changed, now);
+		return {messages: [], changed};
+	}
+
+	#nextRequest(role: DomainRole, now: number): LeaseRequest | undefined {
+		const position = this.#witnesses.indexOf(this.#node);
+		if (position === -1 || !this.#isStanding || !this.#maySeek(role, position, now)) {
+			return undefined;
+		}
+
+		return this.#candidates.get(role)!.nextRequest(this.#witnesses, this.#witness.highestFencing(role), now);
+	}
+
+	#maySeek(role: DomainRole, position: number, now: number): boolean {
+		if (this.ownLease(role, now) !== undefined) {
+			return true;
+		}
+
+		if (!this.#witness.isFree(role, now)) {
+			this.#freeSince.delete(role);
+			return false;
+		}
+
+		const freeSince = this.#freeSince.get(role) ?? now;
+		this.#freeSince.set(role, freeSince);
+		const shift = domainRoles.indexOf(role);
+		const rank = (position + shift) % this.#witnesses.length;
+		return now >= freeSince + (rank * candidacyStepMilliseconds);
+	}
+
+	#sendToWitnesses(request: LeaseRequest, messages: OfficeMessage[], changed: DomainRole[], now: number): void {
+		for (const witness of this.#witnesses) {
+			if (witness !== this.#node) {
+				messages.push({to: witness, body: {kind: 'lease-request', request}});
+			}
+		}
+
+		this.#countVote(this.#node, this.#vote(request, now), changed, now);
+	}
+
+	#vote(request: LeaseRequest, now: number): LeaseVote {
+		const agrees = this.#witnesses.includes(this.#node) && request.witnesses.join(' ') === this.#witnesses.join(' ');
+		return this.#witness.vote(request, agrees, this.#revision, now);
+	}
+
+	#countVote(from: NodeId, vote: LeaseVote, changed: DomainRole[], now: number): void {
+		this.#witness.observeFencing(vote.role, vote.highestFencing);
+		if (this.#candidates.get(vote.role)!.receive(from, vote, this.#witnesses, now)) {
+			this.#held.add(vote.role);
+			changed.push(vote.role);
+		}
+	}
+
+	#noteEnd(role: DomainRole, changed: DomainRole[], now: number): void {
+		if (this.#held.has(role) && this.ownLease(role, now) === undefined) {
+			this.#held.delete(role);
+			changed.push(role);
+		}
+	}
+}
--- /dev/null
+++ b/packages/membership/src/rumor-queue/index.ts
@@ -0,0 +1,69 @@
+/**
+The queue of news that rides on messages.
+
+Each rumor is sent a number of times that grows with the logarithm of the
+number of members; the ones sent least often go first.
+*/
+
+import {rumorRepeatsPerDoubling, rumorsPerMessage} from '../_lib/constants.js';
+import type {Rumor} from '../_lib/messages.js';
+
+type QueuedRumor = {
+	readonly rumor: Rumor;
+	timesSent: number;
+};
+
+/** The subject of a rumor; a newer rumor on the same subject replaces the older one. */
+export function subjectOf(rumor: Rumor): string {
+	switch (rumor.kind) {
+		case 'member': {
+			return `member ${rumor.record.description.node}`;
+		}
+
+		case 'pulse': {
+			return `pulse ${rumor.pulse.node}`;
+		}
+
+		case 'lease': {
+			return `lease ${rumor.lease.role} ${rumor.lease.domain}`;
+		}
+
+		case 'withdrawn': {
+			return `withdrawn ${rumor.keys.join(' ')}`;
+		}
+	}
+}
+
+/** News that still has to be spread. */
+export class RumorQueue {
+	readonly #queued = new Map<string, QueuedRumor>();
+
+	/** Adds news; older news on the same subject is dropped. */
+	add(rumor: Rumor): void {
+		this.#queued.set(subjectOf(rumor), {rumor, timesSent: 0});
+	}
+
+	/** Takes the rumors for one message to a peer, of which `pulses` says whether it shares the domain. */
+	take(memberCount: number, pulses: boolean): Rumor[] {
+		const limit = rumorRepeatsPerDoubling * Math.ceil(Math.log2(memberCount + 1));
+		const chosen: Rumor[] = [];
+		const bySent = [...this.#queued].toSorted(([, first], [, second]) => first.timesSent - second.timesSent);
+		for (const [subject, queued] of bySent) {
+			if (chosen.length >= rumorsPerMessage) {
+				break;
+			}
+
+			if (queued.rumor.kind === 'pulse' && !pulses) {
+				continue;
+			}
+
+			chosen.push(queued.rumor);
+			queued.timesSent++;
+			if (queued.timesSent >= limit) {
+				this.#queued.delete(subject);
+			}
+		}
+
+		return chosen;
+	}
+}
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -73,6 +73,10 @@
 	readonly fencing: FencingNumber;
 	/** Monotonic milliseconds of this node at which the lease ends. */
 	readonly until: number;
+	/** Revision that the holder and a majority of its witnesses have reached. */
+	readonly revision: Revision;
+	/** For the holder itself: highest revision of a voter when the lease began. */
+	readonly revisionAtStart?: Revision;
 };
 
 /** The membership of one node. */
