Keep team rates by tokens that are lent

Cause: a team's rate and burst hold over all VMs together, with callers at any node, no front tier and domains that may be cut off.

Change: each domain's holder has its exact part of every team's rate and burst and lends whole or fractional tokens for at most a second; nodes borrow from their own domain's holder first, then from the others, before they refuse. What is lent counts against the capacity until it is reported, returned or expired, and no loan outlives the lease under which it was made, so that a new holder starts empty with nothing lent. A domain that gains weight waits for the losers' holders. A team created under a lease starts full once a majority of the witnesses know the revision. Contract: HolderView has a revision, the own lease its revisions, and RateKeeperOptions a run number.

A burst of 5 is whole from one node over 1, 3, 4 and 16 domains.

--- /dev/null
+++ b/packages/rates/src/_lib/constants.ts
@@ -0,0 +1,46 @@
+/**
+Constants of team rates, each with its unit in its name.
+*/
+
+import {maximumClockDrift} from '@fireflyglade/model';
+
+/** Parts in which tokens are counted, so that sums are exact. */
+export const partsInToken = 1_000_000;
+/** Milliseconds for which a borrower may use lent tokens, by its clock, counted from its request. */
+export const loanMilliseconds = 1000;
+/** Milliseconds after which a borrower gives unused tokens back. */
+export const idleLoanMilliseconds = 600;
+/** Milliseconds without an answer after which the next holder is asked. */
+export const askTimeoutMilliseconds = 60;
+/** Milliseconds that a charge waits at most. */
+export const chargeTimeoutMilliseconds = 300;
+/** Milliseconds after a round of refusals in which no holder is asked. */
+export const dryMilliseconds = 20;
+/** Milliseconds after which spent tokens are reported. */
+export const reportMilliseconds = 50;
+/** Milliseconds for which a holder's word on its level is believed. */
+export const estimateMilliseconds = 250;
+/** Milliseconds of demand that a busy node borrows ahead. */
+export const prefetchMilliseconds = 150;
+/** Milliseconds between two requests to borrow ahead. */
+export const prefetchPauseMilliseconds = 10;
+/** Milliseconds between two searches for expired loans. */
+export const expiryIntervalMilliseconds = 10;
+/** Requests a second from which a node borrows ahead. */
+export const prefetchDemandPerSecond = 1;
+/** The least that a node borrows ahead, in tokens. */
+export const leastPrefetchTokens = 2;
+/** Part of a team's burst that one node borrows ahead at most. */
+export const prefetchShareOfBurst = 1 / 32;
+/** Milliseconds over which demand is averaged. */
+export const demandWindowMilliseconds = 500;
+
+/** The longest that a borrower may use a loan of `milliseconds`, by its own clock. */
+export function usableMilliseconds(milliseconds: number): number {
+	return milliseconds * (1 - maximumClockDrift);
+}
+
+/** The time for which the lender counts a loan of `milliseconds` as gone. */
+export function heldMilliseconds(milliseconds: number): number {
+	return milliseconds * (1 + (2 * maximumClockDrift));
+}
--- /dev/null
+++ b/packages/rates/src/split-entitlement/index.ts
@@ -0,0 +1,52 @@
+/**
+Splits a whole amount by weights into whole parts that add up to it exactly.
+*/
+
+/** One taker of a part. */
+export type WeightedName<Name extends string> = {
+	readonly name: Name;
+	readonly weight: number;
+};
+
+/**
+Splits `amount` by weight. What rounding leaves goes to the largest remainders,
+and to the lower name among equals. All parts are 0 if no weight is above 0.
+
+@example
+```ts
+splitEntitlement(10, [{name: 'a', weight: 1}, {name: 'b', weight: 2}]); // a 3, b 7
+```
+*/
+export function splitEntitlement<Name extends string>(amount: number, takers: ReadonlyArray<WeightedName<Name>>): Map<Name, number> {
+	let weights = 0;
+	for (const {weight} of takers) {
+		weights += weight;
+	}
+
+	const parts = new Map<Name, number>();
+	if (weights <= 0) {
+		return new Map(takers.map(({name}) => [name, 0]));
+	}
+
+	let rest = amount;
+	const remainders: Array<{readonly name: Name; readonly remainder: number}> = [];
+	for (const {name, weight} of takers) {
+		const exact = amount * weight / weights;
+		const part = Math.floor(exact);
+		parts.set(name, part);
+		rest -= part;
+		remainders.push({name, remainder: exact - part});
+	}
+
+	remainders.sort((first, second) => second.remainder - first.remainder || (first.name < second.name ? -1 : 1));
+	for (const {name} of remainders) {
+		if (rest < 1) {
+			break;
+		}
+
+		parts.set(name, parts.get(name)! + 1);
+		rest--;
+	}
+
+	return parts;
+}
--- /dev/null
+++ b/packages/rates/src/token-rate-keeper/index.ts
@@ -0,0 +1,222 @@
+/**
+The rate keeper of one node: spender always, holder where it has the lease.
+
+Messages to itself are handled at once; all others are for the shell to carry.
+*/
+
+import {
+	type Configuration, type FailureDomain, type NodeId, type RequestId, type TeamName, UnreachableError,
+} from '@fireflyglade/model';
+import type {RatePayload} from '../_lib/messages.js';
+import {EntitlementBook} from '../entitlement-book/index.js';
+import {Lender} from '../lender/index.js';
+import type {ChargedPart, HolderReports} from '../purse/index.js';
+import {type AccountContext, TeamAccount} from '../team-account/index.js';
+import type {
+	ChargeDecision, HolderView, OwnLease, RateActions, RateKeeper, RateKeeperOptions, RateMessage,
+} from '../types.js';
+
+type Charged = {
+	readonly account: TeamAccount;
+	readonly parts: readonly ChargedPart[];
+};
+
+/** Keeps rates by tokens that are lent and spent, and never made twice. */
+export class TokenRateKeeper implements RateKeeper {
+	readonly #node: NodeId;
+	readonly #run: number;
+	readonly #book: EntitlementBook;
+	readonly #lender: Lender;
+	readonly #accounts = new Map<TeamName, TeamAccount>();
+	readonly #charged = new Map<RequestId, Charged>();
+	readonly #domain: FailureDomain;
+	#holders: ReadonlyMap<FailureDomain, HolderView> = new Map();
+	#loanNumber = 0;
+	#decisions: ChargeDecision[] = [];
+	readonly #outgoing: RateMessage[] = [];
+	#isClosed = false;
+
+	constructor({node, domain, run}: RateKeeperOptions) {
+		this.#node = node;
+		this.#domain = domain;
+		this.#run = run;
+		this.#book = new EntitlementBook(domain);
+		this.#lender = new Lender(domain, this.#book);
+	}
+
+	charge(team: TeamName, requestId: RequestId, now: number): RateActions {
+		if (this.#isClosed || !this.#book.configuration.teams.has(team)) {
+			this.#decisions.push({requestId, outcome: {kind: 'refused', retryAfterMilliseconds: 1000}});
+			return this.#takeActions(now);
+		}
+
+		this.#account(team, now).charge(requestId, now);
+		return this.#takeActions(now);
+	}
+
+	refund(requestId: RequestId, now: number): RateActions {
+		const charged = this.#charged.get(requestId);
+		this.#charged.delete(requestId);
+		charged?.account.refund(charged.parts, now);
+		return this.#takeActions(now);
+	}
+
+	settle(requestId: RequestId): void {
+		this.#charged.delete(requestId);
+	}
+
+	receive(message: RateMessage, now: number): RateActions {
+		this.#handle(message, now);
+		return this.#takeActions(now);
+	}
+
+	tick(now: number): RateActions {
+		if (this.#book.confirm(this.#holders, now)) {
+			this.#lender.applyBook([], now);
+		}
+
+		for (const account of this.#accounts.values()) {
+			account.tick(now);
+		}
+
+		return this.#takeActions(now);
+	}
+
+	setConfiguration(configuration: Configuration, now: number): RateActions {
+		const before = this.#book.configuration;
+		if (configuration.revision <= before.revision && before.revision > 0) {
+			return this.#takeActions(now);
+		}
+
+		this.#book.setConfiguration(configuration);
+		const created = [...configuration.teams.keys()].filter(team => !before.teams.has(team));
+		this.#lender.applyBook(created, now);
+		for (const [team, account] of this.#accounts) {
+			if (!configuration.teams.has(team)) {
+				account.close(now);
+				this.#accounts.delete(team);
+			}
+		}
+
+		return this.#takeActions(now);
+	}
+
+	setHolders(holders: ReadonlyMap<FailureDomain, HolderView>, now: number): RateActions {
+		this.#holders = new Map(holders);
+		if (this.#book.confirm(this.#holders, now)) {
+			this.#lender.applyBook([], now);
+		}
+
+		return this.#takeActions(now);
+	}
+
+	setOwnLease(lease: OwnLease | undefined, now: number): RateActions {
+		this.#lender.setLease(lease, now);
+		return this.#takeActions(now);
+	}
+
+	shutDown(now: number): RateActions {
+		this.#isClosed = true;
+		for (const account of this.#accounts.values()) {
+			account.close(now);
+		}
+
+		return this.#takeActions(now);
+	}
+
+	#account(team: TeamName, now: number): TeamAccount {
+		const known = this.#accounts.get(team);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const account = new TeamAccount(team, this.#createContext(), now);
+		this.#accounts.set(team, account);
+		return account;
+	}
+
+	#createContext(): AccountContext {
+		return {
+			domain: this.#domain,
+			run: this.#run,
+			book: this.#book,
+			holders: () => this.#holders,
+			nextLoan: () => {
+				this.#loanNumber++;
+				return this.#loanNumber;
+			},
+			decide: (account, {requestId, outcome, parts}) => {
+				this.#decisions.push({requestId, outcome});
+				if (parts.length > 0) {
+					this.#charged.set(requestId, {account, parts});
+				}
+			},
+			send: (holder, ask) => {
+				this.#send(holder, ask);
+			},
+			report: byHolder => {
+				this.#sendReports(byHolder);
+			},
+		};
+	}
+
+	#handle({from, payload: raw}: RateMessage, now: number): void {
+		const payload = raw as RatePayload;
+		switch (payload.kind) {
+			case 'ask': {
+				this.#send(from, this.#lender.answer(from, payload, now));
+				return;
+			}
+
+			case 'grant': {
+				if (payload.run === this.#run) {
+					this.#accounts.get(payload.team)?.receive(payload, now);
+				}
+
+				return;
+			}
+
+			case 'report': {
+				this.#lender.report(from, payload, now);
+				return;
+			}
+
+			default: {
+				throw new UnreachableError(payload);
+			}
+		}
+	}
+
+	#sendReports(byHolder: readonly HolderReports[]): void {
+		for (const {holder, fencing, reports} of byHolder) {
+			this.#send(holder, {
+				kind: 'report', fencing, run: this.#run, reports,
+			});
+		}
+	}
+
+	#send(to: NodeId, payload: RatePayload): void {
+		this.#outgoing.push({from: this.#node, to, payload});
+	}
+
+	/** Handles messages to this node itself until none is left, and returns the rest. */
+	#takeActions(now: number): RateActions {
+		const messages: RateMessage[] = [];
+		for (;;) {
+			const message = this.#outgoing.shift();
+			if (message === undefined) {
+				break;
+			}
+
+			if (message.to === this.#node) {
+				this.#handle(message, now);
+			} else {
+				messages.push(message);
+			}
+		}
+
+		const decisions = this.#decisions;
+		this.#decisions = [];
+		return {decisions, messages};
+	}
+}
--- /dev/null
+++ b/packages/rates/src/token-rate-keeper/test.ts
@@ -0,0 +1,261 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createTeamName, type Team, type TeamName} from '@fireflyglade/model';
+import type {RatePayload} from '../_lib/messages.js';
+import type {Excess} from '../test-support/spend-count/index.js';
+import {RateWorld, type WorldOptions} from '../test-support/rate-world/index.js';
+import type {RateMessage} from '../types.js';
+
+const council = createTeamName('council');
+const county = createTeamName('county');
+
+function team(name: TeamName, ratePerSecond: number, burst: number): Team {
+	return {name, ratePerSecond, burst};
+}
+
+const quiet: WorldOptions = {
+	seed: 1, domains: 4, nodesPerDomain: 3, lossShare: 0, repeatShare: 0, maximumDelay: 0,
+};
+
+type Step =
+	| {readonly kind: 'charge'; readonly node: number; readonly times: number; readonly isCouncil: boolean}
+	| {readonly kind: 'run'; readonly milliseconds: number}
+	| {readonly kind: 'flood'; readonly steps: number; readonly isCouncil: boolean}
+	| {readonly kind: 'refund'; readonly index: number; readonly times: number}
+	| {readonly kind: 'restart'; readonly node: number}
+	| {readonly kind: 'drop-lease'; readonly domain: number}
+	| {readonly kind: 'cut'; readonly domain: number}
+	| {readonly kind: 'heal'}
+	| {readonly kind: 'change'; readonly rate: number; readonly burst: number; readonly hasCouncil: boolean; readonly lag: number}
+	| {readonly kind: 'weights'; readonly weights: number[]; readonly lag: number};
+
+const node = fc.nat({max: 8});
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+	{
+		weight: 12, arbitrary: fc.record({
+			kind: fc.constant('charge' as const), node, times: fc.integer({min: 1, max: 30}), isCouncil: fc.boolean(),
+		}),
+	},
+	{weight: 8, arbitrary: fc.record({kind: fc.constant('run' as const), milliseconds: fc.integer({min: 5, max: 900})})},
+	{weight: 4, arbitrary: fc.record({kind: fc.constant('flood' as const), steps: fc.integer({min: 1, max: 60}), isCouncil: fc.boolean()})},
+	{weight: 2, arbitrary: fc.record({kind: fc.constant('refund' as const), index: fc.nat(), times: fc.integer({min: 1, max: 3})})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('restart' as const), node})},
+	{weight: 2, arbitrary: fc.record({kind: fc.constant('drop-lease' as const), domain: fc.nat({max: 2})})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('cut' as const), domain: fc.nat({max: 2})})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('heal' as const)})},
+	{
+		weight: 1, arbitrary: fc.record({
+			kind: fc.constant('change' as const), rate: fc.integer({min: 1, max: 80}), burst: fc.integer({min: 1, max: 100}),
+			hasCouncil: fc.boolean(), lag: fc.integer({min: 0, max: 3000}),
+		}),
+	},
+	{
+		weight: 1, arbitrary: fc.record({
+			kind: fc.constant('weights' as const), weights: fc.array(fc.integer({min: 0, max: 5}), {minLength: 3, maxLength: 3}), lag: fc.integer({min: 0, max: 3000}),
+		}),
+	},
+);
+
+/** Charges at every node in turn, three nodes each 20 ms. */
+function flood(world: RateWorld, steps: number, name: TeamName): void {
+	for (let step = 0; step < steps; step++) {
+		for (let nodeIndex = 0; nodeIndex < 3; nodeIndex++) {
+			world.charge((step * 3) + nodeIndex, name);
+		}
+
+		world.run(20);
+	}
+}
+
+function apply(world: RateWorld, step: Step): void {
+	switch (step.kind) {
+		case 'charge': {
+			for (let time = 0; time < step.times; time++) {
+				world.charge(step.node, step.isCouncil ? council : county);
+			}
+
+			break;
+		}
+
+		case 'flood': {
+			flood(world, step.steps, step.isCouncil ? council : county);
+			break;
+		}
+
+		case 'run': {
+			world.run(step.milliseconds);
+			break;
+		}
+
+		case 'refund': {
+			world.refund(step.index, step.times);
+			break;
+		}
+
+		case 'restart': {
+			world.restart(step.node);
+			break;
+		}
+
+		case 'drop-lease': {
+			world.dropLease(step.domain);
+			break;
+		}
+
+		case 'cut': {
+			world.cut(step.domain);
+			break;
+		}
+
+		case 'heal': {
+			world.heal();
+			break;
+		}
+
+		case 'change': {
+			const councils = step.hasCouncil ? [team(council, 2, 5)] : [];
+			world.configure([team(county, step.rate, step.burst), ...councils], world.configuration.domains, step.lag);
+			break;
+		}
+
+		case 'weights': {
+			world.configure([...world.configuration.teams.values()], world.weights(step.weights), step.lag);
+			break;
+		}
+
+		default: {
+			throw new TypeError('unexpected step');
+		}
+	}
+}
+
+function runSteps(steps: readonly Step[], seed: number, broken: Partial<WorldOptions>): Excess | undefined {
+	const world = new RateWorld({
+		seed, domains: 3, nodesPerDomain: 3, lossShare: 0.1, repeatShare: 0.2, maximumDelay: 60, ...broken,
+	});
+	world.configure([team(county, 40, 40), team(council, 2, 5)], world.configuration.domains, 0);
+	world.run(700);
+	for (const step of steps) {
+		apply(world, step);
+	}
+
+	world.run(400);
+	return world.count.findExcess();
+}
+
+function check(broken: Partial<WorldOptions>, runs: number): fc.RunDetails<[Step[], number]> {
+	const property = fc.property(fc.array(stepArbitrary, {minLength: 20, maxLength: 60}), fc.nat(), (steps, seed) => runSteps(steps, seed, broken) === undefined);
+	return fc.check(property, {seed: 20_261, numRuns: runs, endOnFailure: true});
+}
+
+function tamperGrant(change: (grant: RatePayload & {readonly kind: 'grant'}) => RatePayload): (message: RateMessage) => RateMessage {
+	return message => {
+		const payload = message.payload as RatePayload;
+		return payload.kind === 'grant' ? {...message, payload: change(payload)} : message;
+	};
+}
+
+/** Makes spent tokens come back as if they had been returned. */
+function tamperReports(message: RateMessage): RateMessage {
+	const payload = message.payload as RatePayload;
+	if (payload.kind === 'grant') {
+		return message;
+	}
+
+	const reports = payload.reports.map(report => ({...report, returned: report.returned + report.spent, spent: 0}));
+	return {...message, payload: {...payload, reports}};
+}
+
+describe('TokenRateKeeper', () => {
+	it('never spends more than burst plus rate times the window, whatever happens', function () {
+		this.timeout(60_000);
+		const details = check({}, 150);
+		expect(details.failed, JSON.stringify(details.counterexample)).to.equal(false);
+	});
+
+	const breaks: ReadonlyArray<readonly [string, Partial<WorldOptions>]> = [
+		['leases overlap', {hasOverlappingLeases: true}],
+		['holders go on after their leases have ended', {leaseStretchMilliseconds: 3000}],
+		['grants arrive larger than they were made', {tamper: tamperGrant(grant => ({...grant, amount: grant.amount * 2}))}],
+		['spent tokens are reported as returned', {tamper: tamperReports}],
+	];
+	for (const [name, broken] of breaks) {
+		it(`is seen to spend too much where ${name}`, function () {
+			this.timeout(60_000);
+			expect(check(broken, 150).failed).to.equal(true);
+		});
+	}
+
+	it('lets the whole burst of a small team be used from one node', () => {
+		for (const domains of [1, 3, 4, 16]) {
+			const world = new RateWorld({...quiet, domains});
+			world.configure([team(council, 2, 5)], world.configuration.domains, 0);
+			world.run(1500);
+			for (let request = 0; request < 6; request++) {
+				world.charge(0, council);
+			}
+
+			world.run(500);
+			expect(world.count.total(council), `${domains} domains`).to.equal(5);
+		}
+	});
+
+	it('moves a large team\'s demand between domains within a second', () => {
+		const world = new RateWorld(quiet);
+		world.configure([team(county, 200, 100)], world.configuration.domains, 0);
+		world.run(2000);
+		for (const node of [0, 11]) {
+			const before = world.refusals.length;
+			for (let step = 0; step < 540; step++) {
+				world.charge(node, county);
+				world.charge(node, county);
+				world.run(step % 10 === 0 ? 15 : 10);
+			}
+
+			expect(world.refusals.length - before).to.be.at.most(10);
+		}
+	});
+
+	it('gives a token back once, also when told twice', () => {
+		const world = new RateWorld({...quiet, domains: 1});
+		world.configure([team(council, 0.001, 5)], world.configuration.domains, 0);
+		world.run(1500);
+		for (let request = 0; request < 5; request++) {
+			world.charge(0, council);
+		}
+
+		world.run(200);
+		world.refund(0, 2);
+		world.run(200);
+		world.charge(1, council);
+		world.run(100);
+		world.charge(2, council);
+		world.run(100);
+		expect(world.refusals).to.have.length(1);
+	});
+
+	it('goes on in a domain that is cut off with that domain\'s own part', () => {
+		const world = new RateWorld(quiet);
+		world.configure([team(county, 40, 40)], world.configuration.domains, 0);
+		world.run(1500);
+		world.cut(0);
+		world.heal();
+		world.cut(0);
+		for (let request = 0; request < 20; request++) {
+			world.charge(0, county);
+		}
+
+		world.run(500);
+		expect(world.count.total(county)).to.be.within(10, 15);
+	});
+
+	it('refuses a deleted team at once', () => {
+		const world = new RateWorld({...quiet, domains: 1});
+		world.configure([team(council, 2, 5)], world.configuration.domains, 0);
+		world.run(1500);
+		world.configure([], world.configuration.domains, 0);
+		world.run(10);
+		world.charge(0, council);
+		expect(world.refusals).to.have.length(1);
+	});
+});
--- a/packages/rates/src/types.ts
+++ b/packages/rates/src/types.ts
@@ -6,7 +6,7 @@
 */
 
 import type {
-	Configuration, FailureDomain, FencingNumber, NodeId, RequestId, TeamName,
+	Configuration, FailureDomain, FencingNumber, NodeId, RequestId, Revision, TeamName,
 } from '@fireflyglade/model';
 
 /** What became of a charge. */
@@ -38,6 +38,19 @@
 export type HolderView = {
 	readonly holder: NodeId;
 	readonly fencing: FencingNumber;
+	/** Revision that the holder and a majority of its witnesses have reached. */
+	readonly revision: Revision;
+};
+
+/** The lease under which a node is its domain's holder. */
+export type OwnLease = {
+	readonly fencing: FencingNumber;
+	/** Monotonic milliseconds at which the lease ends. */
+	readonly until: number;
+	/** Revision that the holder must have reached before it lends. */
+	readonly revisionAtStart: Revision;
+	/** Revision that a majority of the witnesses have reached, so that no later holder starts from an older one. */
+	readonly majorityRevision: Revision;
 };
 
 /** The rate keeper of one node: spender always, holder where it has the lease. */
@@ -54,8 +67,8 @@
 	setConfiguration(configuration: Configuration, now: number): RateActions;
 	/** Holders by failure domain; a domain without an entry has no known holder. */
 	setHolders(holders: ReadonlyMap<FailureDomain, HolderView>, now: number): RateActions;
-	/** The lease under which this node is its domain's holder, or undefined; ends at `until` monotonic milliseconds. */
-	setOwnLease(lease: {readonly fencing: FencingNumber; readonly until: number} | undefined, now: number): RateActions;
+	/** Takes over that this node is its domain's holder, or no longer is. */
+	setOwnLease(lease: OwnLease | undefined, now: number): RateActions;
 	/** Hands unused tokens over before a graceful exit. */
 	shutDown(now: number): RateActions;
 };
@@ -64,4 +77,6 @@
 export type RateKeeperOptions = {
 	readonly node: NodeId;
 	readonly domain: FailureDomain;
+	/** Number that differs at each start of the process and rises from start to start. */
+	readonly run: number;
 };
