Add the operators' client

One statement as an argument, many from standard input, or a session with history and help; check for settings files; top as a live view. A statement whose answer was lost is resent to the other control processes under the same command id. Errors point at the character, or are JSON with a non-zero exit code.

--- /dev/null
+++ b/packages/client/src/create-program/index.ts
@@ -0,0 +1,166 @@
+/**
+The command line of the operators' client.
+
+Exit codes: 0 if every statement was answered, 1 if one was refused or not
+answered, 2 if the command line is wrong.
+*/
+
+import {randomUUID} from 'node:crypto';
+import {readFile} from 'node:fs/promises';
+import {Command} from 'commander';
+import {millisecondsInSecond, SystemClock} from '@fireflyglade/model';
+import {checkSettings} from '../check-settings/index.js';
+import {UsageError} from '../errors/index.js';
+import {formatError, type AnswerFormat} from '../format-answer/index.js';
+import {OperatorClient} from '../operator-client/index.js';
+import {runSession} from '../run-session/index.js';
+import {runStatement, type ExecuteStatement, type Output} from '../run-statement/index.js';
+import {runTop} from '../run-top/index.js';
+import {createStatementSender} from '../send-statement/index.js';
+
+/** The surroundings of the program. */
+export type ProgramSurroundings = {
+	readonly input: NodeJS.ReadableStream;
+	readonly terminal: NodeJS.WritableStream;
+	/** True if a person sits at both. */
+	readonly isInteractive: boolean;
+	readonly output: Output;
+	/** Takes over the exit code. */
+	setExitCode(code: number): void;
+};
+
+type ProgramOptions = {
+	readonly operator?: string;
+	readonly tokenFile?: string;
+	readonly json?: boolean;
+};
+
+type TopOptions = {
+	readonly interval: string;
+	readonly count?: string;
+};
+
+const requestTimeoutMilliseconds = 15_000;
+const patienceMilliseconds = 30_000;
+const exitCodes = {refused: 1, usage: 2} as const;
+
+async function connect(options: ProgramOptions): Promise<ExecuteStatement> {
+	if (options.operator === undefined || options.tokenFile === undefined) {
+		throw new UsageError('--operator and --token-file are needed');
+	}
+
+	const urls = options.operator.split(',').filter(url => url !== '');
+	if (urls.length === 0 || !urls.every(url => URL.canParse(url))) {
+		throw new UsageError(`--operator ${options.operator} is no list of URLs`);
+	}
+
+	const token = await readToken(options.tokenFile);
+	const client = new OperatorClient({
+		urls,
+		send: createStatementSender({token, timeoutMilliseconds: requestTimeoutMilliseconds}),
+		clock: new SystemClock(),
+		createCommandId: randomUUID,
+		patienceMilliseconds,
+	});
+	return async statement => client.execute(statement);
+}
+
+/** Help needs no control process, so the connection is made for the first statement that does. */
+function connectAtFirstUse(options: ProgramOptions): ExecuteStatement {
+	let connection: Promise<ExecuteStatement> | undefined;
+	return async statement => {
+		connection ??= connect(options);
+		const execute = await connection;
+		return execute(statement);
+	};
+}
+
+async function readToken(file: string): Promise<string> {
+	try {
+		const text = await readFile(file, 'utf8');
+		return text.trim();
+	} catch (error) {
+		throw new UsageError(`--token-file ${file} can't be read`, {cause: error});
+	}
+}
+
+async function runStatements(text: string | undefined, options: ProgramOptions, surroundings: ProgramSurroundings): Promise<boolean> {
+	const {input, terminal, isInteractive, output} = surroundings;
+	const format: AnswerFormat = options.json ? 'json' : 'people';
+	const execute = connectAtFirstUse(options);
+	if (text !== undefined) {
+		return runStatement(text, {execute, output, format});
+	}
+
+	return runSession({
+		execute, output, format, input, ...(isInteractive ? {terminal} : {}),
+	});
+}
+
+async function runTopCommand(topOptions: TopOptions, options: ProgramOptions, surroundings: ProgramSurroundings): Promise<void> {
+	const {isInteractive, output} = surroundings;
+	const interval = Number(topOptions.interval);
+	const count = topOptions.count === undefined ? undefined : Number(topOptions.count);
+	if (!(interval > 0) || (count !== undefined && !(count > 0))) {
+		throw new UsageError('--interval and --count take a number above 0');
+	}
+
+	await runTop({
+		execute: await connect(options),
+		output,
+		clock: new SystemClock(),
+		intervalMilliseconds: interval * millisecondsInSecond,
+		clearScreen: isInteractive,
+		...(count === undefined ? {} : {count}),
+	});
+}
+
+/** Makes the program; its `parseAsync` runs it. */
+export function createProgram(surroundings: ProgramSurroundings): Command {
+	const {output} = surroundings;
+	const program = new Command('fireflyglade');
+	const guard = async (action: () => Promise<boolean>): Promise<void> => {
+		try {
+			const succeeded = await action();
+			if (!succeeded) {
+				surroundings.setExitCode(exitCodes.refused);
+			}
+		} catch (error) {
+			const format = program.opts<ProgramOptions>().json ? 'json' : 'people';
+			const message = formatError(error, '', format);
+			if (format === 'json') {
+				output.write(message);
+			} else {
+				output.writeError(message);
+			}
+
+			surroundings.setExitCode(error instanceof UsageError ? exitCodes.usage : exitCodes.refused);
+		}
+	};
+
+	program
+		.description('Runs operators\' statements: one as an argument, many from standard input, or a session at a terminal.')
+		.option('--operator <urls>', 'base URLs of control processes, separated by commas')
+		.option('--token-file <file>', 'file that holds the operator\'s token')
+		.option('--json', 'write answers and errors as JSON')
+		.argument('[statement]', 'the statement; "help" lists them')
+		.action(async (statement: string | undefined) => guard(async () => runStatements(statement, program.opts(), surroundings)));
+	program
+		.command('check <settings>')
+		.description('check a settings file of a node or a control process')
+		.action(async (file: string) => guard(async () => {
+			const kind = await checkSettings(file);
+			output.write(program.opts<ProgramOptions>().json ? JSON.stringify({file, kind}) : `${file}: settings of a ${kind} process, no faults`);
+			return true;
+		}));
+	program
+		.command('top')
+		.description('show teams and upstreams, drawn again at an interval')
+		.option('--interval <seconds>', 'seconds between two views', '1')
+		.option('--count <number>', 'number of views; without end if absent')
+		.action(async (options: TopOptions) => guard(async () => {
+			await runTopCommand(options, program.opts(), surroundings);
+			return true;
+		}));
+	return program;
+}
--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -1,5 +1,13 @@
 /**
-The operators' command line.
+The operators' command line, as a library.
 */
 
-export {};
+export * from './check-settings/index.js';
+export * from './create-program/index.js';
+export * from './errors/index.js';
+export * from './format-answer/index.js';
+export * from './operator-client/index.js';
+export * from './run-session/index.js';
+export * from './run-statement/index.js';
+export * from './run-top/index.js';
+export * from './send-statement/index.js';
--- /dev/null
+++ b/packages/client/src/main.ts
@@ -0,0 +1,26 @@
+#!/usr/bin/env node
+/**
+The operators' client as a program.
+*/
+
+import process from 'node:process';
+import {createProgram} from './create-program/index.js';
+
+const program = createProgram({
+	input: process.stdin,
+	terminal: process.stdout,
+	isInteractive: process.stdin.isTTY && process.stdout.isTTY,
+	output: {
+		write(text) {
+			process.stdout.write(`${text}\n`);
+		},
+		writeError(text) {
+			process.stderr.write(`${text}\n`);
+		},
+	},
+	setExitCode(code) {
+		process.exitCode = code;
+	},
+});
+
+await program.parseAsync();
