Add the parts of the control process and the example settings

Cause: statements must reach the replicated log, and nodes must hear of changes. Change: the shell around the consensus core (sync, send, apply, answer), the proposer that finds the leader, reports that are held until something newer is accepted, queries over live figures, statements with keys derived from the operator's token and the command id (a resend gets the same secret, kept nowhere), the operators' listener; fleet credentials; settings for both deployments at the sizes of today. The daemon itself waits for the consensus core.

--- /dev/null
+++ b/packages/control/src/_lib/control-rpc.ts
@@ -0,0 +1,32 @@
+/**
+The remote calls between control processes.
+*/
+
+import type {MemberId} from '@fireflyglade/model';
+import type {ConsensusMessage} from '@fireflyglade/consensus';
+import type {NodeReport, RpcMethod} from '@fireflyglade/transport';
+
+/** A batch of messages of the replicated log. */
+export type DeliverRequest = {readonly messages: readonly ConsensusMessage[]};
+
+/** Delivers messages of the replicated log to a member. */
+export const deliverMethod: RpcMethod<DeliverRequest, Record<string, never>> = {service: 'consensus', name: 'deliver'};
+
+/** An encoded command of the state package for the leader. */
+export type ProposeRequest = {readonly command: Uint8Array};
+
+/** What the leader answers to a command that another member passed on. */
+export type ProposeAnswer =
+	| {readonly kind: 'result'; readonly result: Uint8Array}
+	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined}
+	| {readonly kind: 'no-quorum'};
+
+/** Passes a command on to the leader. */
+export const proposeMethod: RpcMethod<ProposeRequest, ProposeAnswer> = {service: 'consensus', name: 'propose'};
+
+/** Reports that one control process passes on to the others. */
+export type ShareRequest = {readonly reports: ReadonlyArray<{readonly report: NodeReport; readonly ageMilliseconds: number}>};
+
+/** Passes nodes' reports on to another control process. */
+export const shareMethod: RpcMethod<ShareRequest, Record<string, never>> = {service: 'control', name: 'share'};
+
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -2,4 +2,5 @@
 The daemon that keeps the replicated configuration.
 */
 
-export {};
+export * from './errors/index.js';
+export type {Operator} from './statement-service/index.js';
--- /dev/null
+++ b/packages/control/src/member-channel/index.ts
@@ -0,0 +1,65 @@
+/**
+Sends messages of the replicated log to the other members.
+
+Messages of one turn of the loop go in one call. A member that doesn't answer
+has a bounded number of calls under way; what comes on top is dropped, as the
+replicated log sends again by itself.
+*/
+
+import type {ConsensusMessage} from '@fireflyglade/consensus';
+import type {MemberId} from '@fireflyglade/model';
+import type {RpcClient} from '@fireflyglade/transport';
+import {deliverMethod} from '../_lib/control-rpc.js';
+
+const callTimeoutMilliseconds = 2000;
+const maximumCallsUnderWay = 32;
+
+/** Sends messages of the replicated log to the other members. */
+export class MemberChannel {
+	readonly #client: RpcClient;
+	readonly #addresses: ReadonlyMap<MemberId, string>;
+	readonly #waiting = new Map<MemberId, ConsensusMessage[]>();
+	readonly #underWay = new Map<MemberId, number>();
+
+	constructor(client: RpcClient, addresses: ReadonlyMap<MemberId, string>) {
+		this.#client = client;
+		this.#addresses = addresses;
+	}
+
+	/** Sends a message with the others of this turn of the loop. */
+	send(message: ConsensusMessage): void {
+		const waiting = this.#waiting.get(message.to);
+		if (waiting !== undefined) {
+			waiting.push(message);
+			return;
+		}
+
+		this.#waiting.set(message.to, [message]);
+		queueMicrotask(() => {
+			this.#flush(message.to);
+		});
+	}
+
+	#flush(member: MemberId): void {
+		const messages = this.#waiting.get(member) ?? [];
+		this.#waiting.delete(member);
+		const address = this.#addresses.get(member);
+		const underWay = this.#underWay.get(member) ?? 0;
+		if (address === undefined || underWay >= maximumCallsUnderWay) {
+			return;
+		}
+
+		this.#underWay.set(member, underWay + 1);
+		void this.#deliver(member, address, messages);
+	}
+
+	async #deliver(member: MemberId, address: string, messages: readonly ConsensusMessage[]): Promise<void> {
+		try {
+			await this.#client.call(deliverMethod, address, {messages}, {timeoutMilliseconds: callTimeoutMilliseconds});
+		} catch {
+			// The replicated log sends again by itself.
+		} finally {
+			this.#underWay.set(member, (this.#underWay.get(member) ?? 1) - 1);
+		}
+	}
+}
--- /dev/null
+++ b/packages/control/src/report-service/index.ts
@@ -0,0 +1,154 @@
+/**
+Answers the nodes' reports with what is new in the configuration.
+
+An answer is held until something newer than the reported revision is accepted,
+so that a change reaches the nodes at once and an idle fleet costs little.
+*/
+
+import type {Clock, ConfigurationUpdate, Revision} from '@fireflyglade/model';
+import type {NodeReport, ReportAnswer, RpcClient} from '@fireflyglade/transport';
+import {shareMethod, type ShareRequest} from '../_lib/control-rpc.js';
+import type {FleetRegistry} from '../fleet-registry/index.js';
+import type {ReplicatedLog} from '../replicated-log/index.js';
+
+/** What the report service needs. */
+export type ReportServiceOptions = {
+	readonly log: ReplicatedLog;
+	readonly registry: FleetRegistry;
+	readonly clock: Clock;
+	readonly client: RpcClient;
+	/** RPC addresses of the other control processes. */
+	readonly otherMembers: readonly string[];
+};
+
+const longestWaitMilliseconds = 5000;
+const quorumFreshnessMilliseconds = 1500;
+const largestDifference = 1000;
+const shareIntervalMilliseconds = 100;
+const shareTimeoutMilliseconds = 1000;
+
+/** Answers the nodes' reports. */
+export class ReportService {
+	readonly #options: ReportServiceOptions;
+	readonly #waiting = new Set<() => void>();
+	#isClosed = false;
+	#sharedUntil = 0;
+	readonly #stopListening: () => void;
+
+	constructor(options: ReportServiceOptions) {
+		this.#options = options;
+		this.#stopListening = options.log.onApplied(() => {
+			this.#wakeAll();
+		});
+	}
+
+	/** Starts to pass reports on to the other control processes. */
+	start(): void {
+		if (this.#options.otherMembers.length > 0) {
+			this.#shareLater();
+		}
+	}
+
+	/** Takes a report and answers it, at once if there is something new. */
+	async answer(report: NodeReport): Promise<ReportAnswer> {
+		const {registry, clock} = this.#options;
+		registry.observe(report, clock.now(), true);
+		await this.#awaitNewer(report.revision, Math.min(report.waitMilliseconds, longestWaitMilliseconds));
+		const update = this.#updateAfter(report.revision);
+		return update === undefined ? {quorum: this.hasQuorum()} : {update, quorum: this.hasQuorum()};
+	}
+
+	/** Takes reports that another control process heard. */
+	receiveShared(request: ShareRequest): void {
+		const now = this.#options.clock.now();
+		for (const {report, ageMilliseconds} of request.reports) {
+			this.#options.registry.observe(report, now - ageMilliseconds, false);
+		}
+	}
+
+	/** True if this process leads or follows a leader that has heard its quorum lately. */
+	hasQuorum(): boolean {
+		const status = this.#options.log.status();
+		return status.leader !== undefined && this.#options.clock.now() - status.quorumHeardAt <= quorumFreshnessMilliseconds;
+	}
+
+	/** Answers all that wait. */
+	close(): void {
+		this.#isClosed = true;
+		this.#stopListening();
+		this.#wakeAll();
+	}
+
+	#wakeAll(): void {
+		for (const wake of this.#waiting) {
+			wake();
+		}
+	}
+
+	async #awaitNewer(revision: Revision, timeout: number): Promise<void> {
+		if (this.#isClosed || timeout <= 0 || this.#options.log.machine().configuration().revision > revision) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const end = (): void => {
+				timer.cancel();
+				this.#waiting.delete(wake);
+				resolve();
+			};
+
+			const wake = (): void => {
+				if (this.#isClosed || this.#options.log.machine().configuration().revision > revision) {
+					end();
+				}
+			};
+
+			const timer = this.#options.clock.startTimer(timeout, end);
+			this.#waiting.add(wake);
+		});
+	}
+
+	#updateAfter(revision: Revision): ConfigurationUpdate | undefined {
+		const machine = this.#options.log.machine();
+		const configuration = machine.configuration();
+		if (configuration.revision <= revision) {
+			return undefined;
+		}
+
+		const changes = machine.changesAfter(revision);
+		return changes === undefined || changes.length > largestDifference
+			? {kind: 'whole', configuration}
+			: {kind: 'changes', after: revision, changes};
+	}
+
+	#shareLater(): void {
+		if (!this.#isClosed) {
+			this.#options.clock.startTimer(shareIntervalMilliseconds, () => {
+				this.#share();
+				this.#shareLater();
+			});
+		}
+	}
+
+	#share(): void {
+		const now = this.#options.clock.now();
+		const fresh = this.#options.registry.heardHereSince(this.#sharedUntil);
+		this.#sharedUntil = now;
+		if (fresh.length === 0) {
+			return;
+		}
+
+		const reports = fresh.map(({report, heardAt}) => ({report, ageMilliseconds: now - heardAt}));
+		for (const address of this.#options.otherMembers) {
+			void this.#shareWith(address, {reports});
+		}
+	}
+
+	async #shareWith(address: string, request: ShareRequest): Promise<void> {
+		try {
+			await this.#options.client.call(shareMethod, address, request, {timeoutMilliseconds: shareTimeoutMilliseconds});
+		} catch {
+			// The next reports of the same nodes follow within a second.
+		}
+	}
+}
--- /dev/null
+++ b/packages/control/src/statement-service/index.ts
@@ -0,0 +1,205 @@
+/**
+Executes operators' statements.
+
+The secret of a key is derived from the operator's token and the command id, so
+that a resend after a lost answer gets the same secret, though it is kept
+nowhere.
+*/
+
+import {createHash, createHmac} from 'node:crypto';
+import {
+	helpText, parseStatement, toConfigurationChange, type ChangeStatement, type Statement, type StatementAnswer,
+} from '@fireflyglade/language';
+import {
+	FireflygladeError, UnreachableError, type Clock, type CommandId, type KeyDigest, type KeyId, type Revision,
+} from '@fireflyglade/model';
+import type {ChangeRefusal, CommandResult} from '@fireflyglade/state';
+import type {CommandProposer} from '../command-proposer/index.js';
+import type {FleetRegistry, RevisionProgress} from '../fleet-registry/index.js';
+import type {QueryService} from '../query-service/index.js';
+import type {ReplicatedLog} from '../replicated-log/index.js';
+
+/** An operator as the token told. */
+export type Operator = {
+	readonly name: string;
+	readonly role: 'operator' | 'viewer';
+	readonly token: string;
+};
+
+/** A statement as it came from an operator. */
+export type StatementRequest = {
+	readonly statement: string;
+	readonly commandId: CommandId;
+	readonly operator: Operator;
+};
+
+/** The operator's role doesn't allow changes. */
+export class ForbiddenStatementError extends FireflygladeError {
+	get code(): 'forbidden' {
+		return 'forbidden';
+	}
+}
+
+/** The state machine refused the change. */
+export class ChangeRefusedError extends FireflygladeError {
+	readonly refusal: ChangeRefusal;
+
+	get code(): ChangeRefusal['kind'] {
+		return this.refusal.kind;
+	}
+
+	constructor(refusal: ChangeRefusal) {
+		super(describeRefusal(refusal));
+		this.refusal = refusal;
+	}
+}
+
+/** What the statement service needs. */
+export type StatementServiceOptions = {
+	readonly log: ReplicatedLog;
+	readonly proposer: CommandProposer;
+	readonly registry: FleetRegistry;
+	readonly queries: QueryService;
+	readonly clock: Clock;
+};
+
+type IssuedKey = {readonly id: KeyId; readonly digest: KeyDigest; readonly secret: string};
+
+const inForceTimeoutMilliseconds = 2000;
+const keyIdCharacters = 16;
+
+function describeRefusal(refusal: ChangeRefusal): string {
+	switch (refusal.kind) {
+		case 'revision-conflict': {
+			const winner = refusal.winner === undefined ? '' : `; ${refusal.winner.operator} made the change ${refusal.winner.change.kind} that led to it`;
+			return `the configuration is at revision ${refusal.actual}, not ${refusal.expected}${winner}`;
+		}
+
+		case 'already-exists': {
+			return `${refusal.what} already exists`;
+		}
+
+		case 'not-found': {
+			return `there is no ${refusal.what}`;
+		}
+
+		case 'invalid': {
+			return refusal.what;
+		}
+
+		default: {
+			throw new UnreachableError(refusal);
+		}
+	}
+}
+
+/** Derives a key from the operator's token and the command id. */
+export function deriveKey(operatorToken: string, commandId: CommandId): IssuedKey {
+	const secret = `ffg_${createHmac('sha256', operatorToken).update(`issue key ${commandId}`).digest('base64url')}`;
+	const digest = createHash('sha256').update(secret).digest('hex') as KeyDigest;
+	const id = `key-${createHash('sha256').update(commandId).digest('hex').slice(0, keyIdCharacters)}` as KeyId;
+	return {id, digest, secret};
+}
+
+/** Executes operators' statements. */
+export class StatementService {
+	readonly #options: StatementServiceOptions;
+
+	constructor(options: StatementServiceOptions) {
+		this.#options = options;
+	}
+
+	/**
+	Executes a statement.
+
+	@throws {StatementSyntaxError} The text is wrong at a position.
+	@throws {InvalidInputError} A name or value is not allowed.
+	@throws {ForbiddenStatementError} The operator may only look.
+	@throws {ChangeRefusedError} The state machine refused the change.
+	@throws {NoQuorumError} No quorum took the command in time; a resend with the same command id tells what became of it.
+	*/
+	async execute(request: StatementRequest): Promise<StatementAnswer> {
+		const statement = parseStatement(request.statement);
+		switch (statement.kind) {
+			case 'change': {
+				return this.#change(request, statement);
+			}
+
+			case 'query': {
+				return this.#options.queries.answer(statement.query);
+			}
+
+			case 'help': {
+				return {kind: 'help', text: helpText(statement.topic)};
+			}
+
+			default: {
+				throw new UnreachableError(statement);
+			}
+		}
+	}
+
+	async #change(request: StatementRequest, statement: Extract<Statement, {kind: 'change'}>): Promise<StatementAnswer> {
+		if (request.operator.role !== 'operator') {
+			throw new ForbiddenStatementError(`the token ${request.operator.name} may show but not change`);
+		}
+
+		const key = deriveKey(request.operator.token, request.commandId);
+		const result = await this.#options.proposer.submit({
+			kind: 'change',
+			commandId: request.commandId,
+			change: toConfigurationChange(statement.change, {
+				configuration: this.#options.log.machine().configuration(),
+				createKey: () => ({id: key.id, digest: key.digest}),
+			}),
+			...(statement.expectedRevision === undefined ? {} : {expectedRevision: statement.expectedRevision}),
+			operator: request.operator.name,
+			at: this.#options.clock.wallNow(),
+		});
+		return this.#answerChange(result, statement.change, key);
+	}
+
+	async #answerChange(result: CommandResult, change: ChangeStatement, key: IssuedKey): Promise<StatementAnswer> {
+		if (result.kind === 'refused') {
+			throw new ChangeRefusedError(result.refusal);
+		}
+
+		if (result.kind !== 'changed') {
+			throw new ChangeRefusedError({kind: 'invalid', what: 'the command id was used for something other than a change'});
+		}
+
+		const progress = await this.#awaitInForce(result.revision);
+		return {
+			kind: 'changed',
+			revision: result.revision,
+			...progress,
+			...(change.kind === 'issue-key' ? {id: key.id, secret: key.secret} : {}),
+		};
+	}
+
+	/** Waits, for a bounded time, until the revision is in force in every domain that is heard. */
+	async #awaitInForce(revision: Revision): Promise<RevisionProgress> {
+		const {clock, registry} = this.#options;
+		const waitUntil = clock.now() + inForceTimeoutMilliseconds;
+		while (this.#progress(revision).pending.length > 0 && clock.now() < waitUntil) {
+			await new Promise<void>(resolve => {
+				const timer = clock.startTimer(waitUntil - clock.now(), () => {
+					stopListening();
+					resolve();
+				});
+				const stopListening = registry.onReport(() => {
+					timer.cancel();
+					stopListening();
+					resolve();
+				});
+			});
+		}
+
+		return this.#progress(revision);
+	}
+
+	#progress(revision: Revision): RevisionProgress {
+		const {registry, log, clock} = this.#options;
+		return registry.progressOf(revision, log.machine().configuration().domains.keys(), clock.now());
+	}
+}
--- a/packages/state/src/configuration-state-machine/index.ts
+++ b/packages/state/src/configuration-state-machine/index.ts
@@ -146,6 +146,11 @@
 		return missing === 0 ? [] : this.#changes.slice(-missing);
 	}
 
+	/** The accepted changes that are still kept, oldest first. */
+	keptChanges(): readonly AcceptedChange[] {
+		return this.#changes;
+	}
+
 	resultOf(commandId: CommandId): CommandResult | undefined {
 		return this.#results.get(commandId)?.result;
 	}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,6 +2,7 @@
 RPC between processes and HTTP plumbing.
 */
 
+export * from './load-fleet-credentials/index.js';
 export * from './message-codec/index.js';
 export * from './rpc-client/index.js';
 export * from './rpc-error/index.js';
--- /dev/null
+++ b/packages/transport/src/load-fleet-credentials/test.ts
@@ -0,0 +1,45 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {expect} from 'chai';
+import {CredentialsError, loadFleetCredentials} from './index.js';
+
+async function errorOf(promise: Promise<unknown>): Promise<unknown> {
+	try {
+		await promise;
+	} catch (error: unknown) {
+		return error;
+	}
+
+	return undefined;
+}
+
+describe('loadFleetCredentials', () => {
+	let folder: string;
+
+	beforeEach(async () => {
+		folder = await mkdtemp(path.join(os.tmpdir(), 'fireflyglade-test-'));
+	});
+
+	afterEach(async () => {
+		await rm(folder, {recursive: true});
+	});
+
+	it('takes a token without the line end', async () => {
+		const tokenFile = path.join(folder, 'token');
+		await writeFile(tokenFile, '0123456789abcdef\n');
+		expect(await loadFleetCredentials({kind: 'token', tokenFile})).to.deep.equal({kind: 'token', token: '0123456789abcdef'});
+	});
+
+	it('refuses a short token', async () => {
+		const tokenFile = path.join(folder, 'token');
+		await writeFile(tokenFile, 'short');
+		expect(await errorOf(loadFleetCredentials({kind: 'token', tokenFile}))).to.be.instanceOf(CredentialsError);
+	});
+
+	it('names a file that can\'t be read', async () => {
+		const error = await errorOf(loadFleetCredentials({kind: 'token', tokenFile: path.join(folder, 'absent')}));
+		expect(error).to.be.instanceOf(CredentialsError);
+		expect(String(error)).to.contain('absent');
+	});
+});
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -39,7 +39,7 @@
 	readonly timeoutMilliseconds: number;
 };
 
-/** What a node reports to a control process about every second; the answer brings what is new. */
+/** What a node reports to a control process about every second; the answer brings what is new as soon as it is accepted. */
 export type NodeReport = {
 	readonly node: NodeId;
 	readonly domain: FailureDomain;
@@ -49,6 +49,8 @@
 	readonly target?: Target;
 	readonly level?: GateLevel;
 	readonly teams: readonly TeamFigures[];
+	/** Milliseconds that the control process may hold the answer until something newer than the revision is accepted. */
+	readonly waitMilliseconds: number;
 	/** Nodes for which this relay speaks, with their revisions. */
 	readonly relayed: ReadonlyArray<{readonly node: NodeId; readonly revision: Revision}>;
 };
@@ -89,3 +91,19 @@
 
 /** The question to a gate about a request whose connection broke. */
 export const outcomeMethod: RpcMethod<OutcomeQuestion, OutcomeAnswer> = {service: 'node', name: 'outcome'};
+
+/** A claim that a gate begins or finishes. */
+export type ClaimCall = {
+	/** A `begin-claim` or `finish-claim` command, encoded by the state package. */
+	readonly command: Uint8Array;
+};
+
+/** What became of a claim call. */
+export type ClaimCallAnswer =
+	/** A result of the state machine, encoded by the codec of messages. */
+	| {readonly kind: 'result'; readonly result: Uint8Array}
+	/** No quorum took the command in time; it may still be applied. */
+	| {readonly kind: 'no-quorum'};
+
+/** The claim of a gate; any control process takes it and passes it on to the leader. */
+export const claimMethod: RpcMethod<ClaimCall, ClaimCallAnswer> = {service: 'control', name: 'claim'};
