Add durable log storage with a fault-injecting file system

Cause: accepted commands and votes must outlast crashes, full disks and I/O errors.

Conclusion: the consensus core can persist through it.

--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -2,4 +2,8 @@
 Durable log and snapshot files.
 */
 
+export * from './errors/index.js';
+export * from './memory-file-system/index.js';
+export * from './node-file-system/index.js';
+export * from './open-log-storage/index.js';
 export type * from './types.js';
