--- a/packages/storage/src/open-log-storage/test.ts
+++ b/packages/storage/src/open-log-storage/test.ts
@@ -93,7 +93,6 @@
 		const whole = fileSystem.content(firstSegment);
 		for (let position = 0; position < whole.byteLength; position++) {
 			const restarted = fileSystem.crash(new SeededRandom(1));
-			const changed = [...whole];
 			const changed = Uint8Array.from(whole);
 			restarted.replaceContent(firstSegment, changed);
 			const error = await failureOf(openIn(restarted));
