Add logs, request metrics and spans

A node needs to be seen within its 128 MB. Logs are JSON lines or text with typed fields and no secrets; metrics count goodput, refusals by reason and retries by team, with latencies by histogram, fairness and the gate's state; spans are written for sampled hops. The histogram and exposition libraries are imported by part, and spans load only when asked for.

--- /dev/null
+++ b/packages/observability/src/_lib/prom-client.d.ts
@@ -0,0 +1,12 @@
+// The library declares types for its main module alone; these are the same classes.
+declare module 'prom-client/lib/registry.js' {
+	export {Registry as default} from 'prom-client';
+}
+
+declare module 'prom-client/lib/gauge.js' {
+	export {Gauge as default} from 'prom-client';
+}
+
+declare module 'prom-client/lib/counter.js' {
+	export {Counter as default} from 'prom-client';
+}
--- /dev/null
+++ b/packages/observability/src/create-logger/index.ts
@@ -0,0 +1,108 @@
+/**
+Logs: one record a line, as JSON for programs or as text for people.
+*/
+
+import process from 'node:process';
+import {createConsola, LogLevels, type LogObject} from 'consola/core';
+import {UnreachableError} from '@fireflyglade/model';
+import {redactFields, redactText, type Fields} from '../_lib/redact-fields/index.js';
+
+/** How much is logged. */
+export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
+
+/** Writes log records. Secrets are taken out of messages and fields. */
+export type Logger = {
+	error(message: string, fields?: Fields): void;
+	warn(message: string, fields?: Fields): void;
+	info(message: string, fields?: Fields): void;
+	debug(message: string, fields?: Fields): void;
+};
+
+/** Settings of logs. */
+export type LoggerSettings = {
+	readonly level: LogLevel;
+	readonly format: 'json' | 'people';
+};
+
+/** Options of a logger. */
+export type LoggerOptions = {
+	/** Name of the process, in every record. */
+	readonly process: string;
+	/** Writes one line; standard error if absent. */
+	readonly write?: (line: string) => void;
+};
+
+/** A record as it is written. */
+type LogRecord = {
+	readonly at: Date;
+	readonly level: string;
+	readonly process: string;
+	readonly message: string;
+	readonly fields: Fields;
+};
+
+function formatForPeople(record: LogRecord): string {
+	const fields = Object.entries(record.fields).map(([name, value]) => ` ${name}=${JSON.stringify(value)}`);
+	const line = `${record.at.toISOString()} ${record.level.padEnd(5)} ${record.process} ${record.message}${fields.join('')}`;
+	// One record is one line and never sends control sequences to the terminal.
+	return line.replaceAll(/[\p{Cc}\p{Cf}]/gu, '?');
+}
+
+function formatRecord(record: LogRecord, format: LoggerSettings['format']): string {
+	switch (format) {
+		case 'json': {
+			const {at, level, process, message, fields} = record;
+			return JSON.stringify({
+				at: at.toISOString(), level, process, message, fields,
+			});
+		}
+
+		case 'people': {
+			return formatForPeople(record);
+		}
+
+		default: {
+			throw new UnreachableError(format);
+		}
+	}
+}
+
+function writeToStandardError(line: string): void {
+	process.stderr.write(`${line}\n`);
+}
+
+/**
+Makes a logger.
+
+@example
+```ts
+const logger = createLogger({level: 'info', format: 'json'}, {process: 'node-1'});
+logger.info('configuration in force', {revision: 7});
+```
+*/
+export function createLogger(settings: LoggerSettings, options: LoggerOptions): Logger {
+	const write = options.write ?? writeToStandardError;
+	const reporter = {
+		log({date, type, args}: LogObject): void {
+			const [message, fields] = args as [string, Fields | undefined];
+			write(formatRecord({
+				at: date, level: type, process: options.process, message: redactText(message), fields: redactFields(fields ?? {}),
+			}, settings.format));
+		},
+	};
+	const consola = createConsola({level: LogLevels[settings.level], reporters: [reporter], throttle: 0});
+	return {
+		error(message, fields) {
+			consola.error(message, fields);
+		},
+		warn(message, fields) {
+			consola.warn(message, fields);
+		},
+		info(message, fields) {
+			consola.info(message, fields);
+		},
+		debug(message, fields) {
+			consola.debug(message, fields);
+		},
+	};
+}
--- /dev/null
+++ b/packages/observability/src/span-file-exporter/index.ts
@@ -0,0 +1,97 @@
+/**
+Writes spans to a file as JSON lines. The file is bounded: a full one replaces
+the one before it, under the same name with `.1` appended.
+*/
+
+import {appendFile, rename, stat} from 'node:fs/promises';
+import type {ReadableSpan, SpanExporter} from '@opentelemetry/sdk-trace-node';
+import {bytesInMebibyte} from '@fireflyglade/model';
+
+type ExportCallback = Parameters<SpanExporter['export']>[1];
+
+/** Options of the exporter. */
+export type SpanFileExporterOptions = {
+	/** Bytes after which a file is full. */
+	readonly maximumBytes?: number;
+};
+
+const defaultMaximumBytes = 16 * bytesInMebibyte;
+const succeeded = 0;
+const failed = 1;
+const nanosecondsInSecond = 1_000_000_000n;
+
+function toNanoseconds([seconds, nanoseconds]: readonly [number, number]): string {
+	return String((BigInt(seconds) * nanosecondsInSecond) + BigInt(Math.round(nanoseconds)));
+}
+
+function formatSpan(span: ReadableSpan): string {
+	const {traceId, spanId} = span.spanContext();
+	return JSON.stringify({
+		traceId,
+		spanId,
+		parentSpanId: span.parentSpanContext?.spanId,
+		name: span.name,
+		startUnixNanoseconds: toNanoseconds(span.startTime),
+		endUnixNanoseconds: toNanoseconds(span.endTime),
+		attributes: span.attributes,
+	});
+}
+
+/** Writes spans to a file. */
+export class SpanFileExporter implements SpanExporter {
+	readonly #file: string;
+	readonly #maximumBytes: number;
+	#pending: Promise<void> = Promise.resolve();
+	#size: number | undefined;
+
+	constructor(file: string, options: SpanFileExporterOptions = {}) {
+		this.#file = file;
+		this.#maximumBytes = options.maximumBytes ?? defaultMaximumBytes;
+	}
+
+	export(spans: readonly ReadableSpan[], callback: ExportCallback): void {
+		const text = spans.map(span => `${formatSpan(span)}\n`).join('');
+		this.#pending = this.#finish(this.#pending, text, callback);
+	}
+
+	async forceFlush(): Promise<void> {
+		await this.#pending;
+	}
+
+	async shutdown(): Promise<void> {
+		await this.#pending;
+	}
+
+	async #finish(previous: Promise<void>, text: string, callback: ExportCallback): Promise<void> {
+		await previous;
+		try {
+			await this.#write(text);
+			callback({code: succeeded});
+		} catch (error) {
+			// Spans that can't be written are lost; the node goes on.
+			this.#size = undefined;
+			callback({code: failed, ...(error instanceof Error ? {error} : {})});
+		}
+	}
+
+	async #write(text: string): Promise<void> {
+		const bytes = Buffer.byteLength(text);
+		this.#size ??= await readSize(this.#file);
+		if (this.#size > 0 && this.#size + bytes > this.#maximumBytes) {
+			await rename(this.#file, `${this.#file}.1`);
+			this.#size = 0;
+		}
+
+		await appendFile(this.#file, text);
+		this.#size += bytes;
+	}
+}
+
+async function readSize(file: string): Promise<number> {
+	try {
+		const {size} = await stat(file);
+		return size;
+	} catch {
+		return 0;
+	}
+}
