Restore the changed byte in the storage test

Cause: the line that damages the segment had been lost, and the test was red. Change: it stands again.

--- a/packages/storage/src/open-log-storage/test.ts
+++ b/packages/storage/src/open-log-storage/test.ts
@@ -94,6 +94,7 @@
 		for (let position = 0; position < whole.byteLength; position++) {
 			const restarted = fileSystem.crash(new SeededRandom(1));
 			const changed = Uint8Array.from(whole);
+			changed[position] = (changed[position] ?? 0) + 1;
 			restarted.replaceContent(firstSegment, changed);
 			const error = await failureOf(openIn(restarted));
 			const isVersion = error instanceof StorageVersionError;
