--- a/packages/control/src/report-service/index.ts
+++ b/packages/control/src/report-service/index.ts
@@ -17,8 +17,8 @@
 	readonly registry: FleetRegistry;
 	readonly clock: Clock;
 	readonly client: RpcClient;
-	/** RPC addresses of the other control processes. */
-	readonly otherMembers: readonly string[];
+	/** Gives the RPC addresses of the other control processes. */
+	readonly otherMembers: () => readonly string[];
 };
 
 const longestWaitMilliseconds = 5000;
@@ -44,9 +44,7 @@
 
 	/** Starts to pass reports on to the other control processes. */
 	start(): void {
-		if (this.#options.otherMembers.length > 0) {
-			this.#shareLater();
-		}
+		this.#shareLater();
 	}
 
 	/** Takes a report and answers it, at once if there is something new. */
@@ -139,7 +137,7 @@
 		}
 
 		const reports = fresh.map(({report, heardAt}) => ({report, ageMilliseconds: now - heardAt}));
-		for (const address of this.#options.otherMembers) {
+		for (const address of this.#options.otherMembers()) {
 			void this.#shareWith(address, {reports});
 		}
 	}
--- a/packages/scenario/src/stand-in-upstream/index.ts
+++ b/packages/scenario/src/stand-in-upstream/index.ts
@@ -27,6 +27,8 @@
 	readonly announceUrl?: string;
 	/** URL of the node's egress listener, for calls to other services. */
 	readonly egressUrl?: string;
+	/** Calls that requests to a path make to another service, by path without the query. */
+	readonly calls?: ReadonlyMap<string, string>;
 	/** Slots to announce; those above if absent. */
 	readonly announcedSlots?: number;
 };
@@ -189,13 +191,14 @@
 	}
 
 	async #answer(message: IncomingMessage, response: ServerResponse, run: RecordedRun, body: string): Promise<void> {
-		const query = new URL(message.url ?? '/', this.url).searchParams;
+		const url = new URL(message.url ?? '/', this.url);
+		const query = url.searchParams;
 		const delay = this.serviceMilliseconds + Number(query.get('delayMs') ?? 0);
 		if (delay > 0) {
-			await wait(delay);
+			await waitUnlessClosed(response, delay);
 		}
 
-		const called = await this.#callOther(message, query.get('call') ?? undefined);
+		const called = await this.#callOther(message, query.get('call') ?? this.#options.calls?.get(url.pathname));
 		const answer = JSON.stringify({
 			run: run.run, service: this.#options.service, body, headers: message.headers, called, padding: 'x'.repeat(Number(query.get('bytes') ?? 0)),
 		});
@@ -212,7 +215,7 @@
 	}
 
 	async #callOther(message: IncomingMessage, path: string | undefined): Promise<unknown> {
-		if (path === null || this.#options.egressUrl === undefined) {
+		if (path === undefined || this.#options.egressUrl === undefined) {
 			return undefined;
 		}
 
@@ -246,6 +249,18 @@
 	}
 }
 
+/** Waits, and rejects as soon as the caller goes away, as an upstream that accepts cancellation does. */
+async function waitUnlessClosed(response: ServerResponse, delay: number): Promise<void> {
+	const controller = new AbortController();
+	const abort = (): void => {
+		controller.abort();
+	};
+
+	response.once('close', abort);
+	await wait(delay, undefined, {signal: controller.signal});
+	response.off('close', abort);
+}
+
 function ignoreBrokenConnection(): void {
 	// The run is recorded as cancelled when its response closes.
 }
