--- a/packages/admission/src/_lib/service-estimate/index.ts
+++ b/packages/admission/src/_lib/service-estimate/index.ts
@@ -14,6 +14,7 @@
 
 type Estimate = {
 	milliseconds: number;
+	deviation: number;
 	sampledAt: number;
 };
 
@@ -26,27 +27,34 @@
 		const index = Math.min(lowestPriority, Math.max(0, Math.trunc(priority)));
 		const estimate = this.#estimates[index];
 		if (estimate === undefined) {
-			this.#estimates[index] = {milliseconds, sampledAt: now};
+			this.#estimates[index] = {milliseconds, deviation: 0, sampledAt: now};
 			return;
 		}
 
-		const before = this.at(index, now);
-		estimate.milliseconds = before + ((milliseconds - before) * weightOfSample);
+		const factor = this.#fading(estimate, now);
+		const mean = estimate.milliseconds * factor;
+		const deviation = estimate.deviation * factor;
+		estimate.milliseconds = mean + ((milliseconds - mean) * weightOfSample);
+		estimate.deviation = deviation + ((Math.abs(milliseconds - mean) - deviation) * weightOfSample);
 		estimate.sampledAt = now;
 	}
 
-	/** Expected milliseconds of a run; 0 if nothing is known. */
-	at(priority: number, now: number): number {
+	/**
+	Expected milliseconds of a run; 0 if nothing is known.
+
+	@param deviations - Mean deviations above the mean, for a safer figure.
+	*/
+	at(priority: number, deviations: number, now: number): number {
 		const estimate = this.#estimates[Math.min(lowestPriority, Math.max(0, Math.trunc(priority)))];
 		if (estimate === undefined) {
 			return 0;
 		}
 
-		const idle = now - estimate.sampledAt - graceMilliseconds;
-		if (idle <= 0) {
-			return estimate.milliseconds;
-		}
+		return (estimate.milliseconds + (deviations * estimate.deviation)) * this.#fading(estimate, now);
+	}
 
-		return estimate.milliseconds * (0.5 ** (idle / halfLifeMilliseconds));
+	#fading(estimate: Estimate, now: number): number {
+		const idle = now - estimate.sampledAt - graceMilliseconds;
+		return idle <= 0 ? 1 : 0.5 ** (idle / halfLifeMilliseconds);
 	}
 }
--- a/packages/admission/src/gate-admission/index.ts
+++ b/packages/admission/src/gate-admission/index.ts
@@ -21,8 +21,10 @@
 /** Waiting requests that a gate keeps for each request that it may run. */
 const waitingPerRunning = 3;
 const minimumCapacity = 16;
-/** Time for which the queue must stand before the newest goes first. */
+/** Time for which something must wait without a break until the queue counts as standing. */
 const standingMilliseconds = 100;
+/** Mean deviations of the service time that a request must have left while the queue stands. */
+const standingDeviations = 2;
 /** Time for which a shed priority is told to others. */
 const shedNoticeMilliseconds = 200;
 const minimumRetryAfterMilliseconds = 50;
@@ -48,7 +50,7 @@
 	#shedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: AdmissionOptions) {
-		this.#limit = options.limit ?? new AdaptiveLimit(options.slots);
+		this.#limit = options.limit ?? new AdaptiveLimit(options);
 		this.#order = options.order ?? 'earliest-deadline';
 		this.#emptyAt = options.now;
 	}
@@ -149,7 +151,7 @@
 
 	#startWaiting(now: number): AdmissionDecision[] {
 		const decisions: AdmissionDecision[] = [];
-		const newestFirst = this.#order === 'newest-when-standing' && now - this.#emptyAt > standingMilliseconds;
+		const newestFirst = this.#order === 'newest-when-standing' && this.#isStanding(now);
 		while (this.#room.size > 0 && this.#running.size < this.#limit.current(now)) {
 			const {request} = this.#room.takeNext(newestFirst)!;
 			decisions.push(this.#isHopeless(request, now) ? this.#refuse(request.requestId, 'deadline', now) : this.#run(request, now));
@@ -182,8 +184,14 @@
 		}
 	}
 
+	/** True if the request can't be expected to end in time; a standing queue asks for more, as others could use the slot. */
 	#isHopeless(request: AdmissionRequest, now: number): boolean {
-		return now + this.#estimate.at(request.priority, now) >= request.deadline;
+		const deviations = this.#isStanding(now) ? standingDeviations : 0;
+		return now + this.#estimate.at(request.priority, deviations, now) >= request.deadline;
+	}
+
+	#isStanding(now: number): boolean {
+		return this.#room.size > 0 && now - this.#emptyAt > standingMilliseconds;
 	}
 
 	#capacity(now: number): number {
@@ -192,7 +200,7 @@
 
 	#retryAfter(now: number): number {
 		const rounds = this.#room.size / this.#limit.current(now);
-		const expected = rounds * this.#estimate.at(lowestPriority, now);
+		const expected = rounds * this.#estimate.at(lowestPriority, 0, now);
 		return Math.round(Math.min(maximumRetryAfterMilliseconds, Math.max(minimumRetryAfterMilliseconds, expected)));
 	}
 
--- /dev/null
+++ b/packages/admission/src/test-support/trial/index.ts
@@ -0,0 +1,322 @@
+/**
+A trial of an admission policy before one fake upstream, in virtual time.
+
+Callers of several teams send at given rates, give up at their deadline and
+retry what was refused or given up. The same seed gives the same figures.
+*/
+
+import {
+	createTeamName, SeededRandom, type RequestId, type TeamName,
+} from '@fireflyglade/model';
+import type {Admission, AdmissionDecision} from '../../types.js';
+import {EventQueue} from '../event-queue/index.js';
+import {FakeUpstream} from '../fake-upstream/index.js';
+
+/** The load of one team. */
+export type TeamLoad = {
+	readonly name: string;
+	/** Rate that operators set, the weight of the team. */
+	readonly rate: number;
+	/** First attempts a second. */
+	readonly offered: number;
+	/** Share of important requests, priority 0; the others have priority 5. */
+	readonly importantShare?: number;
+};
+
+/** Options of a trial. */
+export type TrialOptions = {
+	readonly seed: number;
+	readonly announcedSlots: number;
+	readonly realSlots: number;
+	readonly meanServiceMilliseconds: number;
+	readonly slowness?: (now: number) => number;
+	readonly teams: readonly TeamLoad[];
+	readonly timeoutMilliseconds: number;
+	/** Attempts after the first one that a caller makes. */
+	readonly retries: number;
+	readonly retryDelayMilliseconds: number;
+	readonly warmUpMilliseconds: number;
+	readonly milliseconds: number;
+	/** Makes the admission; without one every request goes to the upstream and is never cancelled there. */
+	readonly admission?: (slots: number) => Admission;
+};
+
+/** Figures of a trial, after its warm-up. */
+export type TrialResult = {
+	/** Requests a second that the real slots can run at the usual service time. */
+	readonly capacity: number;
+	/** Answers in time, a second. */
+	readonly goodput: number;
+	readonly goodputByTeam: ReadonlyMap<string, number>;
+	/** First attempts a second. */
+	readonly offeredByTeam: ReadonlyMap<string, number>;
+	/** Share of important first attempts that got an answer in time, retries counted in. */
+	readonly importantShare: number;
+	/** Share of attempts that were refused. */
+	readonly refusedShare: number;
+	/** Share of the upstream's finished runs whose caller had gone. */
+	readonly uselessShare: number;
+	/** Answers in time by whole tenth of a second from the start of the trial. */
+	readonly answersByTenth: readonly number[];
+	/** 99th percentile of the latency of answers in time, in milliseconds. */
+	readonly latencyPercentile99: number;
+};
+
+const tickMilliseconds = 10;
+const tenthMilliseconds = 100;
+const percentile = 0.99;
+
+type Job = {
+	readonly team: TeamLoad;
+	readonly important: boolean;
+	readonly attempt: number;
+	readonly isCounted: boolean;
+};
+
+type Attempt = {
+	readonly id: RequestId;
+	readonly job: Job;
+	readonly startedAt: number;
+	cancelUpstream?: () => void;
+	stopTimeout?: () => void;
+	isOver: boolean;
+};
+
+/** Runs one trial. */
+export class Trial {
+	readonly #options: TrialOptions;
+	readonly #events = new EventQueue();
+	readonly #random: SeededRandom;
+	readonly #upstream: FakeUpstream;
+	readonly #admission: Admission | undefined;
+	readonly #attempts = new Map<RequestId, Attempt>();
+	readonly #goodByTeam = new Map<string, number>();
+	readonly #offeredByTeam = new Map<string, number>();
+	readonly #answersByTenth: number[] = [];
+	readonly #latencies: number[] = [];
+	#sequence = 0;
+	#good = 0;
+	#offeredAttempts = 0;
+	#refused = 0;
+	#runs = 0;
+	#uselessRuns = 0;
+	#importantOffered = 0;
+	#importantGood = 0;
+
+	constructor(options: TrialOptions) {
+		this.#options = options;
+		this.#random = new SeededRandom(options.seed);
+		this.#upstream = new FakeUpstream(this.#events, new SeededRandom(options.seed + 1), {
+			slots: options.realSlots, meanServiceMilliseconds: options.meanServiceMilliseconds, slowness: options.slowness,
+		});
+		this.#admission = options.admission?.(options.announcedSlots);
+		const weights = new Map<TeamName, number>();
+		for (const team of options.teams) {
+			weights.set(createTeamName(team.name), team.rate);
+			this.#goodByTeam.set(team.name, 0);
+			this.#offeredByTeam.set(team.name, 0);
+		}
+
+		this.#admission?.setTeamWeights(weights);
+	}
+
+	run(): TrialResult {
+		for (const team of this.#options.teams) {
+			this.#scheduleArrival(team);
+		}
+
+		this.#scheduleTick();
+		this.#events.runUntil(this.#options.warmUpMilliseconds + this.#options.milliseconds);
+		return this.#result();
+	}
+
+	#result(): TrialResult {
+		const seconds = this.#options.milliseconds / 1000;
+		this.#latencies.sort((left, right) => left - right);
+		return {
+			capacity: this.#options.realSlots * 1000 / this.#options.meanServiceMilliseconds,
+			goodput: this.#good / seconds,
+			goodputByTeam: divided(this.#goodByTeam, seconds),
+			offeredByTeam: divided(this.#offeredByTeam, seconds),
+			importantShare: this.#importantGood / Math.max(1, this.#importantOffered),
+			refusedShare: this.#refused / Math.max(1, this.#offeredAttempts),
+			uselessShare: this.#uselessRuns / Math.max(1, this.#runs),
+			answersByTenth: this.#answersByTenth,
+			latencyPercentile99: this.#latencies[Math.floor(this.#latencies.length * percentile)] ?? 0,
+		};
+	}
+
+	get #isCounting(): boolean {
+		return this.#events.now >= this.#options.warmUpMilliseconds;
+	}
+
+	#scheduleArrival(team: TeamLoad): void {
+		const delay = -Math.log(1 - this.#random.nextFraction()) * 1000 / team.offered;
+		this.#events.after(delay, () => {
+			this.#scheduleArrival(team);
+			const important = this.#random.nextFraction() < (team.importantShare ?? 0);
+			const isCounted = this.#isCounting && this.#events.now < this.#options.warmUpMilliseconds + this.#options.milliseconds - this.#options.timeoutMilliseconds;
+			this.#importantOffered += important && isCounted ? 1 : 0;
+			if (this.#isCounting) {
+				this.#offeredByTeam.set(team.name, this.#offeredByTeam.get(team.name)! + 1);
+			}
+
+			this.#send({
+				team, important, attempt: 0, isCounted,
+			});
+		});
+	}
+
+	#scheduleTick(): void {
+		this.#events.after(tickMilliseconds, () => {
+			this.#scheduleTick();
+			this.#apply(this.#admission?.tick(this.#events.now) ?? []);
+		});
+	}
+
+	#send(job: Job): void {
+		const {now} = this.#events;
+		const attempt: Attempt = {
+			id: `request-${this.#sequence++}` as RequestId, job, startedAt: now, isOver: false,
+		};
+		this.#attempts.set(attempt.id, attempt);
+		this.#offeredAttempts += this.#isCounting ? 1 : 0;
+		attempt.stopTimeout = this.#events.after(this.#options.timeoutMilliseconds, () => {
+			this.#giveUp(attempt);
+		});
+		if (this.#admission === undefined) {
+			this.#start(attempt);
+			return;
+		}
+
+		this.#apply(this.#admission.offer({
+			requestId: attempt.id,
+			rootId: attempt.id,
+			team: createTeamName(job.team.name),
+			priority: job.important ? 0 : 5,
+			deadline: now + this.#options.timeoutMilliseconds,
+			depth: 0,
+		}, now));
+	}
+
+	#apply(decisions: readonly AdmissionDecision[]): void {
+		for (const decision of decisions) {
+			const attempt = this.#attempts.get(decision.requestId);
+			if (attempt === undefined) {
+				continue;
+			}
+
+			switch (decision.kind) {
+				case 'run': {
+					this.#start(attempt);
+					break;
+				}
+
+				case 'refuse': {
+					this.#refused += this.#isCounting ? 1 : 0;
+					this.#end(attempt);
+					this.#retry(attempt.job);
+					break;
+				}
+
+				case 'wait': {
+					break;
+				}
+			}
+		}
+	}
+
+	#start(attempt: Attempt): void {
+		attempt.cancelUpstream = this.#upstream.start(() => {
+			this.#runs += this.#isCounting ? 1 : 0;
+			if (attempt.isOver) {
+				this.#uselessRuns += this.#isCounting ? 1 : 0;
+				return;
+			}
+
+			this.#end(attempt);
+			this.#countAnswer(attempt);
+			this.#apply(this.#admission?.finish(attempt.id, 'success', this.#events.now) ?? []);
+		});
+	}
+
+	#countAnswer(attempt: Attempt): void {
+		const tenth = Math.floor(this.#events.now / tenthMilliseconds);
+		this.#answersByTenth[tenth] = (this.#answersByTenth[tenth] ?? 0) + 1;
+		if (attempt.job.important && attempt.job.isCounted) {
+			this.#importantGood++;
+		}
+
+		if (!this.#isCounting) {
+			return;
+		}
+
+		this.#good++;
+		this.#latencies.push(this.#events.now - attempt.startedAt);
+		this.#goodByTeam.set(attempt.job.team.name, this.#goodByTeam.get(attempt.job.team.name)! + 1);
+	}
+
+	#giveUp(attempt: Attempt): void {
+		this.#end(attempt);
+		if (this.#admission !== undefined) {
+			this.#cancelAtGate(attempt);
+		}
+
+		this.#retry(attempt.job);
+	}
+
+	#cancelAtGate(attempt: Attempt): void {
+		const {now} = this.#events;
+		if (attempt.cancelUpstream === undefined) {
+			this.#apply(this.#admission!.cancel(attempt.id, now));
+			return;
+		}
+
+		this.#runs += this.#isCounting ? 1 : 0;
+		this.#uselessRuns += this.#isCounting ? 1 : 0;
+		attempt.cancelUpstream();
+		this.#apply(this.#admission!.finish(attempt.id, 'timeout', now));
+	}
+
+	#end(attempt: Attempt): void {
+		attempt.isOver = true;
+		attempt.stopTimeout?.();
+		this.#attempts.delete(attempt.id);
+	}
+
+	#retry(job: Job): void {
+		if (job.attempt < this.#options.retries) {
+			this.#events.after(this.#options.retryDelayMilliseconds * (0.5 + this.#random.nextFraction()), () => {
+				this.#send({...job, attempt: job.attempt + 1});
+			});
+		}
+	}
+}
+
+function divided(counts: ReadonlyMap<string, number>, divisor: number): Map<string, number> {
+	const quotients = new Map<string, number>();
+	for (const [name, count] of counts) {
+		quotients.set(name, count / divisor);
+	}
+
+	return quotients;
+}
+
+const recoveryTenths = 20;
+
+/** Seconds from `triggerEnd` until the answers of the next two seconds reach `share` of `normal` a second; undefined if they never do. */
+export function recoverySeconds(answersByTenth: readonly number[], triggerEnd: number, normal: number, share: number): number | undefined {
+	const first = Math.floor(triggerEnd / tenthMilliseconds);
+	for (let start = first; start + recoveryTenths <= answersByTenth.length; start++) {
+		let answers = 0;
+		for (let tenth = start; tenth < start + recoveryTenths; tenth++) {
+			answers += answersByTenth[tenth] ?? 0;
+		}
+
+		if (answers / recoveryTenths * 10 >= normal * share) {
+			return (start - first) / 10;
+		}
+	}
+
+	return undefined;
+}
