--- /dev/null
+++ b/packages/consensus/src/_lib/raft-log.ts
@@ -0,0 +1,150 @@
+/**
+The log in memory: a snapshot, and the entries after a base that lies at or
+before the end of the snapshot.
+*/
+
+import type {MemberId} from '@fireflyglade/model';
+import {ConsensusInvariantError} from '../errors/index.js';
+import type {
+	LogEntry, MemberSet, SavedState, Snapshot, StoredState,
+} from '../types.js';
+
+type MembersAt = {
+	readonly index: number;
+	readonly members: MemberSet;
+};
+
+const noMembers: MemberSet = {voters: [], learners: []};
+
+/** The entries of one member. */
+export class RaftLog {
+	#snapshot: Snapshot | undefined;
+	#baseIndex: number;
+	#baseTerm: number;
+	#entries: LogEntry[];
+	/** The member sets from the base on, the oldest first. */
+	#members: MembersAt[];
+
+	constructor(stored: StoredState) {
+		this.#snapshot = stored.snapshot;
+		this.#baseIndex = stored.snapshot?.lastIndex ?? 0;
+		this.#baseTerm = stored.snapshot?.lastTerm ?? 0;
+		this.#members = [{index: this.#baseIndex, members: stored.snapshot?.members ?? noMembers}];
+		this.#entries = [];
+		for (const entry of stored.entries) {
+			this.append(entry);
+		}
+	}
+
+	get snapshot(): Snapshot | undefined {
+		return this.#snapshot;
+	}
+
+	get lastIndex(): number {
+		return this.#baseIndex + this.#entries.length;
+	}
+
+	get lastTerm(): number {
+		return this.#entries.at(-1)?.term ?? this.#baseTerm;
+	}
+
+	/** The newest member set, committed or not. */
+	get members(): MemberSet {
+		return this.#members.at(-1)?.members ?? noMembers;
+	}
+
+	/** Index of the entry from which the newest member set comes. */
+	get membersIndex(): number {
+		return this.#members.at(-1)?.index ?? 0;
+	}
+
+	/** The term of an entry; undefined if it was dropped or doesn't exist yet. */
+	termAt(index: number): number | undefined {
+		return index === this.#baseIndex ? this.#baseTerm : this.#entries[index - this.#baseIndex - 1]?.term;
+	}
+
+	membersAt(index: number): MemberSet {
+		let found = noMembers;
+		for (const change of this.#members) {
+			if (change.index > index) {
+				break;
+			}
+
+			found = change.members;
+		}
+
+		return found;
+	}
+
+	/** True if a member votes in the member set at an index or in a later one. */
+	isVoterSince(index: number, member: MemberId): boolean {
+		if (this.membersAt(index).voters.includes(member)) {
+			return true;
+		}
+
+		for (const change of this.#members) {
+			if (change.index > index && change.members.voters.includes(member)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** The entries from one index up to, but without, another. */
+	slice(from: number, to: number): readonly LogEntry[] {
+		return this.#entries.slice(Math.max(0, from - this.#baseIndex - 1), Math.max(0, to - this.#baseIndex - 1));
+	}
+
+	append(entry: LogEntry): void {
+		if (entry.index !== this.lastIndex + 1) {
+			throw new ConsensusInvariantError(`entry ${entry.index} can't follow entry ${this.lastIndex}`);
+		}
+
+		this.#entries.push(entry);
+		if (entry.payload.kind === 'members') {
+			this.#members.push({index: entry.index, members: entry.payload.members});
+		}
+	}
+
+	/** Removes the entries from an index on. */
+	truncateFrom(index: number): void {
+		this.#entries.length = Math.max(0, index - this.#baseIndex - 1);
+		while (this.#members.length > 1 && this.membersIndex >= index) {
+			this.#members.pop();
+		}
+	}
+
+	/** Makes a snapshot of a saved state and drops the entries that it replaces, but for the last `retained`. */
+	compact(saved: SavedState, retained: number): Snapshot {
+		const lastTerm = this.termAt(saved.lastIndex);
+		if (lastTerm === undefined) {
+			throw new ConsensusInvariantError(`there is no entry ${saved.lastIndex} to make a snapshot at`);
+		}
+
+		const snapshot: Snapshot = {
+			lastIndex: saved.lastIndex, lastTerm, members: this.membersAt(saved.lastIndex), data: saved.data,
+		};
+		this.#snapshot = snapshot;
+		this.#dropUpTo(Math.max(this.#baseIndex, saved.lastIndex - retained));
+		return snapshot;
+	}
+
+	/** Replaces the whole log by a snapshot. */
+	reset(snapshot: Snapshot): void {
+		this.#snapshot = snapshot;
+		this.#baseIndex = snapshot.lastIndex;
+		this.#baseTerm = snapshot.lastTerm;
+		this.#entries = [];
+		this.#members = [{index: snapshot.lastIndex, members: snapshot.members}];
+	}
+
+	#dropUpTo(index: number): void {
+		const term = this.termAt(index) ?? this.#baseTerm;
+		const members = this.membersAt(index);
+		this.#entries = this.#entries.slice(index - this.#baseIndex);
+		this.#members = [{index, members}, ...this.#members.filter(change => change.index > index)];
+		this.#baseIndex = index;
+		this.#baseTerm = term;
+	}
+}
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -2,4 +2,11 @@
 Replicated log as a pure core.
 */
 
+export type * from './_lib/consensus-disk.js';
+export * from './decode-message/index.js';
+export * from './encode-message/index.js';
+export * from './errors/index.js';
+export * from './load-stored-state/index.js';
+export * from './raft-consensus/index.js';
 export type * from './types.js';
+export * from './write-persist-action/index.js';
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -3,7 +3,9 @@
 results and time, and gives back actions. It does no input or output itself.
 
 After an action `persist` the core waits for `persisted` with the same number
-before it lets any message go that depends on it.
+before it lets any message go that depends on it. Actions `persist` are carried
+out in the order in which they were given; one that holds nothing but a snapshot
+may be carried out beside later ones.
 */
 
 import type {MemberId} from '@fireflyglade/model';
@@ -28,12 +30,19 @@
 	readonly voters: readonly MemberId[];
 	/** Members that receive the log but do not vote yet. */
 	readonly learners: readonly MemberId[];
+	/**
+	The disk of each voter, filled in by the leader. A member whose disk is another
+	one has lost what it promised, and takes no part.
+	*/
+	readonly disks?: Readonly<Record<string, string>>;
 };
 
 /** The part of the state that must be synced before an answer depends on it. */
 export type HardState = {
 	readonly term: number;
 	readonly votedFor?: MemberId;
+	/** Random identity of the disk, drawn when nothing was stored on it. */
+	readonly disk?: string;
 };
 
 /** A snapshot of the state machine up to an index. */
@@ -53,7 +62,11 @@
 
 /** What the shell has to do, in this order. */
 export type ConsensusAction =
-	/** Sync this to disk, then call `persisted(number)`. */
+	/**
+	Sync this to disk, then call `persisted(number)`. A snapshot is saved first;
+	then, in one write, the log is truncated and the entries and the hard state are
+	written.
+	*/
 	| {readonly kind: 'persist'; readonly number: number; readonly hardState?: HardState; readonly truncateFrom?: number; readonly entries: readonly LogEntry[]; readonly snapshot?: Snapshot}
 	| {readonly kind: 'send'; readonly message: ConsensusMessage}
 	/** Apply these committed entries to the state machine, in order. */
@@ -65,14 +78,29 @@
 	| {readonly kind: 'read-failed'; readonly readId: number}
 	/** A proposal of this member was superseded: its fate is unknown to the caller, who may resend it. */
 	| {readonly kind: 'proposal-lost'; readonly proposalId: number}
-	/** A proposal of this member was committed at `index`. */
+	/** A proposal of this member was committed at `index`; the `apply` with the entry at `index` follows. */
 	| {readonly kind: 'proposal-committed'; readonly proposalId: number; readonly index: number}
 	| {readonly kind: 'leadership-changed'; readonly leader: MemberId | undefined; readonly isSelf: boolean};
 
 /** What became of the wish to propose. */
 export type ProposalResult =
 	| {readonly kind: 'accepted'; readonly proposalId: number; readonly actions: readonly ConsensusAction[]}
-	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined};
+	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined}
+	/** A change of the members was refused; it may be tried again later unless it is no single step. */
+	| {readonly kind: 'members-refused'; readonly reason: MembersRefusal};
+
+/** Why a change of the members was refused. */
+export type MembersRefusal =
+	/** Another change is not committed yet. */
+	| 'change-pending'
+	/** The leader has not yet committed an entry of its own term. */
+	| 'leader-not-ready'
+	/** The change is more than: add a learner, make a learner a voter, or remove one member. */
+	| 'not-one-step'
+	/** The learner that is to vote has not caught up with the log. */
+	| 'not-caught-up'
+	/** No voter would be left. */
+	| 'no-voter-left';
 
 /** One member of the replicated log. */
 export type Consensus = {
@@ -83,13 +111,22 @@
 	propose(payload: EntryPayload, now: number): ProposalResult;
 	/** Starts a linearizable read (read index). */
 	read(readId: number, now: number): readonly ConsensusAction[];
-	/** Tells the core that the state machine was saved up to `snapshot.lastIndex`. */
-	compact(snapshot: Snapshot, now: number): readonly ConsensusAction[];
+	/**
+	Hands in the state machine as it was saved after the entry at `lastIndex`, which
+	was given by `apply`. The core persists it as a snapshot and drops the entries before.
+	*/
+	compact(saved: SavedState, now: number): readonly ConsensusAction[];
 	/** Hands leadership over to the best follower. */
 	transferLeadership(now: number): readonly ConsensusAction[];
 	status(): ConsensusStatus;
 };
 
+/** A state machine as it was saved. */
+export type SavedState = {
+	readonly lastIndex: number;
+	readonly data: Uint8Array;
+};
+
 /** The state of a member, for display and for evidence of a quorum. */
 export type ConsensusStatus = {
 	readonly term: number;
@@ -98,8 +135,15 @@
 	readonly commitIndex: number;
 	readonly lastIndex: number;
 	readonly members: MemberSet;
-	/** Monotonic milliseconds at which a quorum was last known to follow the leader. */
-	readonly quorumHeardAt: number;
+	/** Milliseconds of this member's clock at which a quorum was last known to follow the leader; undefined if never. */
+	readonly quorumHeardAt: number | undefined;
+	/** Learners that may be made voters; known to the leader alone. */
+	readonly caughtUpLearners: readonly MemberId[];
+	/**
+	True if the disk of this member was lost: the others count on promises that it
+	can't keep, so it takes no part any more and must be replaced under a new id.
+	*/
+	readonly diskLost: boolean;
 };
 
 /** What a member finds on its disk when it starts. */
