--- a/packages/admission/src/_lib/fair-queue/index.ts
+++ b/packages/admission/src/_lib/fair-queue/index.ts
@@ -1,79 +1,52 @@
 /**
 The requests of one importance that wait, fair between teams.
 
-Teams are served by start-time fair queueing: each has a virtual start time
-that moves on by 1 / weight with each request that leaves to run, and the team
-with the smallest goes next. The team whose last request would start the latest
-is the one that gives way when the queue is full.
+The team with the smallest virtual start goes next. The team whose last request
+would start the latest is the one that gives way when the queue is full.
 */
 
 import {IndexedHeap} from '../indexed-heap/index.js';
+import type {TeamAccount} from '../team-accounts/index.js';
 import type {AdmissionRequest} from '../../types.js';
 
 /** A request that waits. */
 export type WaitingRequest = {
 	readonly request: AdmissionRequest;
-	readonly arrivedAt: number;
 	/** Number of arrival, which rises with each request. */
 	readonly sequence: number;
 	/** Place in the order of importance; smaller goes first. */
 	readonly band: number;
+	readonly account: TeamAccount;
 };
 
 type TeamEntry = {
-	readonly name: string;
-	weight: number;
-	/** Virtual time at which the team's next request starts. */
-	virtualStart: number;
+	readonly account: TeamAccount;
 	readonly byDeadline: IndexedHeap<WaitingRequest>;
 	readonly byNewest: IndexedHeap<WaitingRequest>;
 };
 
-/** Bound on the number of idle teams whose virtual start is remembered. */
-const rememberedIdleTeams = 1024;
-
 function virtualEnd(team: TeamEntry): number {
-	return team.virtualStart + (team.byDeadline.size / team.weight);
+	return team.account.virtualStart + (team.byDeadline.size / team.account.weight);
 }
 
-/** A queue that is fair between teams by their weights. */
+/** A queue that is fair between teams by their accounts. */
 export class FairQueue {
-	readonly #teams = new Map<string, TeamEntry>();
-	readonly #byStart = new IndexedHeap<TeamEntry>((left, right) => left.virtualStart < right.virtualStart);
+	/** Teams of which a request waits here. */
+	readonly #teams = new Map<TeamAccount, TeamEntry>();
+	readonly #byStart = new IndexedHeap<TeamEntry>((left, right) => left.account.virtualStart < right.account.virtualStart);
 	readonly #byEnd = new IndexedHeap<TeamEntry>((left, right) => virtualEnd(left) > virtualEnd(right));
-	#virtualTime = 0;
-	#size = 0;
-
-	get size(): number {
-		return this.#size;
-	}
-
-	/** Adds a request; `weight` is the present weight of its team. */
-	add(waiting: WaitingRequest, weight: number): void {
-		const team = this.#team(waiting.request.team ?? '', weight);
-		if (team.byDeadline.size === 0) {
-			team.virtualStart = Math.max(team.virtualStart, this.#virtualTime);
-		}
 
-		team.weight = weight;
+	add(waiting: WaitingRequest): void {
+		const team = this.#teams.get(waiting.account) ?? this.#createEntry(waiting.account);
 		team.byDeadline.update(waiting);
 		team.byNewest.update(waiting);
-		this.#size++;
-		this.#reorder(team);
+		this.#placeEntry(team);
 	}
 
-	/** Takes the request that runs next. */
-	takeNext(newestFirst: boolean): WaitingRequest | undefined {
+	/** The request that runs next. */
+	next(newestFirst: boolean): WaitingRequest | undefined {
 		const team = this.#byStart.first();
-		if (team === undefined) {
-			return undefined;
-		}
-
-		const waiting = (newestFirst ? team.byNewest : team.byDeadline).first()!;
-		this.#virtualTime = team.virtualStart;
-		team.virtualStart += 1 / team.weight;
-		this.#remove(team, waiting);
-		return waiting;
+		return (newestFirst ? team?.byNewest : team?.byDeadline)?.first();
 	}
 
 	/** The request that gives way first: of the team furthest ahead of its share, the one with the least remaining time. */
@@ -81,26 +54,25 @@
 		return this.#byEnd.first()?.byDeadline.first();
 	}
 
-	/** Removes a request that doesn't run. */
 	remove(waiting: WaitingRequest): void {
-		const team = this.#teams.get(waiting.request.team ?? '');
-		if (team !== undefined) {
-			this.#remove(team, waiting);
+		const team = this.#teams.get(waiting.account);
+		if (team?.byDeadline.remove(waiting)) {
+			team.byNewest.remove(waiting);
+			this.#placeEntry(team);
 		}
 	}
 
-	#remove(team: TeamEntry, waiting: WaitingRequest): void {
-		if (!team.byDeadline.remove(waiting)) {
-			return;
+	/** Puts a team in its place after its account has changed. */
+	reorder(account: TeamAccount): void {
+		const team = this.#teams.get(account);
+		if (team !== undefined) {
+			this.#placeEntry(team);
 		}
-
-		team.byNewest.remove(waiting);
-		this.#size--;
-		this.#reorder(team);
 	}
 
-	#reorder(team: TeamEntry): void {
+	#placeEntry(team: TeamEntry): void {
 		if (team.byDeadline.size === 0) {
+			this.#teams.delete(team.account);
 			this.#byStart.remove(team);
 			this.#byEnd.remove(team);
 			return;
@@ -110,32 +82,13 @@
 		this.#byEnd.update(team);
 	}
 
-	#team(name: string, weight: number): TeamEntry {
-		const known = this.#teams.get(name);
-		if (known !== undefined) {
-			return known;
-		}
-
-		if (this.#teams.size > this.#byStart.size + rememberedIdleTeams) {
-			this.#forgetIdleTeams();
-		}
-
+	#createEntry(account: TeamAccount): TeamEntry {
 		const created: TeamEntry = {
-			name,
-			weight,
-			virtualStart: this.#virtualTime,
+			account,
 			byDeadline: new IndexedHeap((left, right) => left.request.deadline < right.request.deadline),
 			byNewest: new IndexedHeap((left, right) => left.sequence > right.sequence),
 		};
-		this.#teams.set(name, created);
+		this.#teams.set(account, created);
 		return created;
 	}
-
-	#forgetIdleTeams(): void {
-		for (const [name, team] of this.#teams) {
-			if (team.byDeadline.size === 0) {
-				this.#teams.delete(name);
-			}
-		}
-	}
 }
--- a/packages/admission/src/_lib/sample-window/index.ts
+++ b/packages/admission/src/_lib/sample-window/index.ts
@@ -12,6 +12,7 @@
 	#sum = 0;
 	#sumOfSquares = 0;
 	#maximumInFlight = 0;
+	#minimumInFlight = Number.POSITIVE_INFINITY;
 
 	/**
 	@param startedAt - Monotonic milliseconds at which the window starts.
@@ -27,6 +28,11 @@
 		return this.#maximumInFlight;
 	}
 
+	/** Fewest requests that ran at the end of any run, that run counted. */
+	get minimumInFlight(): number {
+		return this.#minimumInFlight;
+	}
+
 	get failureShare(): number {
 		return this.#count === 0 ? 0 : this.#failures / this.#count;
 	}
@@ -49,6 +55,7 @@
 
 	observeInFlight(inFlight: number): void {
 		this.#maximumInFlight = Math.max(this.#maximumInFlight, inFlight);
+		this.#minimumInFlight = Math.min(this.#minimumInFlight, inFlight);
 	}
 
 	record(sample: RunSample, now: number): void {
--- a/packages/admission/src/_lib/waiting-room/index.ts
+++ b/packages/admission/src/_lib/waiting-room/index.ts
@@ -8,6 +8,7 @@
 import {highestPriority, lowestPriority, type RequestId} from '@fireflyglade/model';
 import {FairQueue, type WaitingRequest} from '../fair-queue/index.js';
 import {IndexedHeap} from '../indexed-heap/index.js';
+import {TeamAccounts, type TeamAccount} from '../team-accounts/index.js';
 import type {AdmissionRequest} from '../../types.js';
 
 const bandsOfPriority = 2;
@@ -21,6 +22,7 @@
 /** The requests that wait at a gate. */
 export class WaitingRoom {
 	readonly #bands: FairQueue[] = [];
+	readonly #accounts = new TeamAccounts();
 	readonly #byDeadline = new IndexedHeap<WaitingRequest>((left, right) => left.request.deadline < right.request.deadline);
 	readonly #byId = new Map<RequestId, WaitingRequest>();
 	#sequence = 0;
@@ -45,24 +47,27 @@
 		return this.#byId.has(requestId);
 	}
 
-	add(request: AdmissionRequest, weight: number, now: number): void {
+	/** Adds a request; `weight` is the present weight of its team. */
+	add(request: AdmissionRequest, weight: number): void {
 		const waiting: WaitingRequest = {
 			request,
-			arrivedAt: now,
 			sequence: this.#sequence++,
 			band: bandOf(request),
+			account: this.#accounts.join(request.team ?? '', weight),
 		};
 		this.#byId.set(request.requestId, waiting);
 		this.#byDeadline.update(waiting);
-		this.#bands[waiting.band]!.add(waiting, weight);
+		this.#bands[waiting.band]!.add(waiting);
 	}
 
 	/** Takes the request that runs next. */
 	takeNext(newestFirst: boolean): WaitingRequest | undefined {
 		for (const band of this.#bands) {
-			const waiting = band.takeNext(newestFirst);
+			const waiting = band.next(newestFirst);
 			if (waiting !== undefined) {
 				this.#forget(waiting);
+				this.#accounts.charge(waiting.account);
+				this.#reorder(waiting.account);
 				return waiting;
 			}
 		}
@@ -94,12 +99,23 @@
 			return undefined;
 		}
 
-		this.#bands[waiting.band]!.remove(waiting);
 		this.#forget(waiting);
+		this.#accounts.leave(waiting.account);
 		return waiting;
 	}
 
+	#reorder(account: TeamAccount): void {
+		if (account.waiting === 0) {
+			return;
+		}
+
+		for (const band of this.#bands) {
+			band.reorder(account);
+		}
+	}
+
 	#forget(waiting: WaitingRequest): void {
+		this.#bands[waiting.band]!.remove(waiting);
 		this.#byId.delete(waiting.request.requestId);
 		this.#byDeadline.remove(waiting);
 	}
--- a/packages/admission/src/adaptive-limit/index.ts
+++ b/packages/admission/src/adaptive-limit/index.ts
@@ -41,6 +41,9 @@
 const suspectWindows = 3;
 const firstHoldMilliseconds = 500;
 const longestHoldMilliseconds = 8000;
+/** Time without a break at the limit after which a probe starts without any rise, as the baseline may be that of an overloaded upstream. */
+const firstExplorationMilliseconds = 2000;
+const longestExplorationMilliseconds = 60_000;
 /** Part of the way by which the baseline follows a faster window. */
 const baselineFall = 0.5;
 /** Part of the way by which the baseline follows a slower window of an almost idle upstream. */
@@ -75,6 +78,9 @@
 	/** No probe before this time. */
 	#holdUntil = Number.NEGATIVE_INFINITY;
 	#holdMilliseconds = firstHoldMilliseconds;
+	/** Time since which as many requests as allowed have run without a break. */
+	#fullFrom: number | undefined;
+	#explorationMilliseconds = firstExplorationMilliseconds;
 	readonly #warmUp: WarmUp;
 
 	constructor(options: AdaptiveLimitOptions) {
@@ -110,6 +116,7 @@
 
 	finish(sample: RunSample, inFlight: number, now: number): void {
 		this.#window.record(sample, now);
+		this.#window.observeInFlight(inFlight + 1);
 		switch (this.#phase.kind) {
 			case 'steady': {
 				this.#judgeWindow(now);
@@ -147,9 +154,11 @@
 			return;
 		}
 
+		const isSaturated = window.maximumInFlight >= this.current(now);
+		this.#fullFrom = window.minimumInFlight >= this.current(now) ? this.#fullFrom ?? now : undefined;
 		if (window.maximumInFlight <= idleInFlight || !this.#isSuspect(window)) {
 			this.#suspectWindows = 0;
-			this.#grow(window, now);
+			this.#growOrExplore(window, isSaturated, now);
 			return;
 		}
 
@@ -202,19 +211,25 @@
 			&& window.latency < this.#baseline * (1 + smallRise);
 	}
 
-	#grow(window: SampleWindow, now: number): void {
+	#growOrExplore(window: SampleWindow, isSaturated: boolean, now: number): void {
+		if (this.#fullFrom !== undefined && now - this.#fullFrom >= this.#explorationMilliseconds && window.maximumInFlight > idleInFlight) {
+			this.#startSettling(window);
+			return;
+		}
+
 		if (this.#limit >= this.#slots) {
 			this.#isCapped = false;
 			return;
 		}
 
-		if (window.maximumInFlight >= this.current(now)) {
+		if (isSaturated) {
 			const part = this.#isCapped ? cappedGrowthPart : growthPart;
 			this.#limit = Math.min(this.#slots, this.#limit + Math.max(1, this.#limit * part));
 		}
 	}
 
 	#startSettling(window: SampleWindow): void {
+		this.#fullFrom = undefined;
 		this.#phase = {kind: 'settling', from: this.#limit, before: window};
 		this.#limit = Math.max(1, Math.min(this.#limit, window.maximumInFlight) * probePart);
 	}
@@ -238,11 +253,14 @@
 		this.#limit = phase.from;
 		if (helped) {
 			this.#isCapped = true;
+			this.#explorationMilliseconds = firstExplorationMilliseconds;
+			this.#baseline = Math.min(window.latency ?? Number.POSITIVE_INFINITY, this.#baseline ?? Number.POSITIVE_INFINITY);
 			this.#lower(phase.before.maximumInFlight, phase.before);
 			this.#hold(now);
 			return;
 		}
 
+		this.#explorationMilliseconds = Math.min(longestExplorationMilliseconds, this.#explorationMilliseconds * 2);
 		this.#baseline = window.latency ?? this.#baseline;
 		this.#isCapped = false;
 		this.#hold(now);
--- /dev/null
+++ b/packages/admission/src/adaptive-limit/test.ts
@@ -0,0 +1,100 @@
+import {expect} from 'chai';
+import {GateAdmission} from '../gate-admission/index.js';
+import {Trial, type TrialOptions} from '../test-support/trial/index.js';
+import {FixedLimit} from '../test-support/variants/index.js';
+import {AdaptiveLimit} from './index.js';
+
+const slowFrom = 5000;
+const slowUntil = 15_000;
+
+/** A service of 10 slots and 20 ms, so of 500 requests a second. */
+function trialOptions(change: Partial<TrialOptions>): TrialOptions {
+	return {
+		seed: 3,
+		announcedSlots: 10,
+		realSlots: 10,
+		meanServiceMilliseconds: 20,
+		teams: [{name: 'one', rate: 100, offered: 1000}],
+		timeoutMilliseconds: 1000,
+		retries: 0,
+		retryDelayMilliseconds: 50,
+		warmUpMilliseconds: 2000,
+		milliseconds: 8000,
+		...change,
+	};
+}
+
+describe('AdaptiveLimit', () => {
+	it('starts from the announced slots and never exceeds them', () => {
+		const limit = new AdaptiveLimit({slots: 12.7, now: 0});
+		expect(limit.current(0)).to.equal(12);
+		limit.setSlots(0, 1);
+		expect(limit.current(1)).to.equal(1);
+		limit.setSlots(Number.NaN, 2);
+		expect(limit.current(2)).to.equal(1);
+	});
+
+	it('finds the real slots of an upstream that announces four times as many', () => {
+		let limit: AdaptiveLimit | undefined;
+		const result = new Trial(trialOptions({
+			announcedSlots: 40,
+			admission(slots) {
+				limit = new AdaptiveLimit({slots, now: 0});
+				return new GateAdmission({slots, now: 0, limit});
+			},
+		})).run();
+		expect(limit!.current(10_000)).to.be.within(8, 22);
+		expect(result.goodput / result.capacity).to.be.at.least(0.95);
+	});
+
+	it('keeps its limit when the work itself becomes slower', () => {
+		const slow = trialOptions({milliseconds: 20_000, slowness: now => now >= slowFrom && now < slowUntil ? 4 : 1});
+		const adaptive = new Trial({...slow, admission: slots => new GateAdmission({slots, now: 0})}).run();
+		const fixed = new Trial({...slow, admission: slots => new GateAdmission({slots, now: 0, limit: new FixedLimit(slots)})}).run();
+		expect(adaptive.goodput / fixed.goodput).to.be.at.least(0.95);
+	});
+
+	it('keeps its baseline through long overload of an upstream with fewer slots than announced', () => {
+		let limit: AdaptiveLimit | undefined;
+		new Trial(trialOptions({
+			announcedSlots: 30,
+			milliseconds: 60_000,
+			teams: [{name: 'one', rate: 100, offered: 2000}],
+			admission(slots) {
+				limit = new AdaptiveLimit({slots, now: 0});
+				return new GateAdmission({slots, now: 0, limit});
+			},
+		})).run();
+		expect(limit!.baseline).to.be.within(10, 30);
+	});
+
+	it('lets a cold upstream come to its slots step by step', () => {
+		const limit = new AdaptiveLimit({slots: 40, now: 0, cold: true});
+		const caps: number[] = [];
+		let now = 0;
+		while (now < 5000) {
+			caps.push(limit.current(now));
+			limit.begin(1, now);
+			now += 20;
+			limit.finish({startedAt: now - 20, outcome: 'success'}, 0, now);
+		}
+
+		expect(caps[0]).to.equal(4);
+		expect(caps.at(-1)).to.equal(40);
+		expect(caps.indexOf(40) * 20).to.be.within(1500, 4000);
+	});
+
+	it('holds a cold upstream back while its latency is far above its best', () => {
+		const limit = new AdaptiveLimit({slots: 40, now: 0, cold: true});
+		let now = 0;
+		let latency = 20;
+		while (now < 5000) {
+			limit.begin(4, now);
+			now += latency;
+			limit.finish({startedAt: now - latency, outcome: 'success'}, 3, now);
+			latency = now > 700 ? 100 : 20;
+		}
+
+		expect(limit.current(now)).to.be.below(40);
+	});
+});
--- a/packages/admission/src/gate-admission/index.ts
+++ b/packages/admission/src/gate-admission/index.ts
@@ -13,7 +13,7 @@
 } from '@fireflyglade/model';
 import {AdaptiveLimit} from '../adaptive-limit/index.js';
 import {ServiceEstimate} from '../_lib/service-estimate/index.js';
-import {bandOf, WaitingRoom} from '../_lib/waiting-room/index.js';
+import {WaitingRoom} from '../_lib/waiting-room/index.js';
 import type {
 	Admission, AdmissionDecision, AdmissionOptions, AdmissionRequest, ConcurrencyLimit, QueueOrder, RefusalReason, RunOutcome,
 } from '../types.js';
@@ -136,17 +136,25 @@
 			this.#emptyAt = now;
 		}
 
-		this.#room.add(request, this.#weightOf(request.team), now);
+		this.#room.add(request, this.#weightOf(request.team));
 		const decisions = this.#startWaiting(now);
-		if (this.#room.size <= this.#capacity(now)) {
-			return this.#room.has(request.requestId) ? [...decisions, {kind: 'wait', requestId: request.requestId}] : decisions;
+		const shed = this.#room.size > this.#capacity(now) ? this.#shedOne(now) : undefined;
+		if (this.#room.has(request.requestId)) {
+			decisions.push({kind: 'wait', requestId: request.requestId});
 		}
 
-		const shed = this.#room.firstToShed()!;
-		this.#room.remove(shed.request.requestId);
-		this.#noteShed(shed.request, now);
-		const refusal = this.#refuse(shed.request.requestId, shed.request === request ? 'queue-full' : 'shed', now);
-		return shed.request === request ? [refusal] : [{kind: 'wait', requestId: request.requestId}, refusal];
+		if (shed !== undefined) {
+			decisions.push(this.#refuse(shed.requestId, shed === request ? 'queue-full' : 'shed', now));
+		}
+
+		return decisions;
+	}
+
+	#shedOne(now: number): AdmissionRequest {
+		const {request} = this.#room.firstToShed()!;
+		this.#room.remove(request.requestId);
+		this.#noteShed(request, now);
+		return request;
 	}
 
 	#startWaiting(now: number): AdmissionDecision[] {
@@ -178,7 +186,7 @@
 
 	#noteShed(request: AdmissionRequest, now: number): void {
 		const worst = this.#room.worstPriority;
-		if (worst !== undefined && worst < request.priority && bandOf(request) % 2 === 1) {
+		if (worst !== undefined && worst < request.priority) {
 			this.#shedPriority = worst + 1;
 			this.#shedAt = now;
 		}
