Weigh the cost of the longer way before spilling over, and test routing

Cause: a loaded own failure domain was left as soon as another was less loaded, whatever the longer way cost.

Change: a node follows the latency floor of a service in its own domain and in the others, and leaves the domain when the expected wait exceeds the difference.

--- /dev/null
+++ b/packages/routing/src/split-attempts/test.ts
@@ -0,0 +1,116 @@
+import {maximumCallDepth, type RandomSource, SeededRandom} from '@fireflyglade/model';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {lowerAttempts, SharedAttempts, splitAttempts} from './index.js';
+
+/** A call graph: the calls that an upstream makes when it runs. */
+type Graph = {readonly site: number; readonly calls: readonly Graph[]};
+
+type Tally = {readonly runs: Map<number, number>; sent: number; readonly random: RandomSource; readonly failingShare: number};
+
+function sitesOf(graph: Graph): number {
+	let sites = 1;
+	for (const call of graph.calls) {
+		sites += sitesOf(call);
+	}
+
+	return sites;
+}
+
+/** Runs one call with its retries, as an impatient caller would; returns what it left unspent. */
+function makeCall(graph: Graph, attempts: number, tally: Tally): number {
+	for (let remaining = attempts; remaining > 0;) {
+		const split = splitAttempts(remaining);
+		tally.sent++;
+		const fate = tally.random.nextFraction();
+		if (fate < tally.failingShare / 2) {
+			remaining = lowerAttempts(split, {kind: 'not-run'});
+			continue;
+		}
+
+		const unspent = run(graph, split.passed, tally);
+		const isReported = tally.random.nextFraction() < 0.5;
+		const left = lowerAttempts(split, isReported ? {kind: 'ran', unspent} : {kind: 'ran'});
+		if (fate >= tally.failingShare) {
+			return left;
+		}
+
+		remaining = left;
+	}
+
+	return 0;
+}
+
+function run(graph: Graph, attempts: number, tally: Tally): number {
+	tally.runs.set(graph.site, (tally.runs.get(graph.site) ?? 0) + 1);
+	const shared = new SharedAttempts(attempts);
+	const isParallel = tally.random.nextFraction() < 0.5;
+	const taken = isParallel ? graph.calls.map(() => shared.take()) : [];
+	for (const [index, call] of graph.calls.entries()) {
+		shared.giveBack(makeCall(call, taken[index] ?? shared.take(), tally));
+	}
+
+	return shared.unspent;
+}
+
+function chain(depth: number): Graph {
+	let graph: Graph = {site: depth, calls: []};
+	for (let site = depth - 1; site >= 0; site--) {
+		graph = {site, calls: [graph]};
+	}
+
+	return graph;
+}
+
+function randomGraph(random: RandomSource, depth: number, counter: {sites: number}): Graph {
+	const site = counter.sites++;
+	const calls: Graph[] = [];
+	const width = depth === 0 || counter.sites > 60 ? 0 : random.nextInteger(4);
+	for (let count = 0; count < width; count++) {
+		calls.push(randomGraph(random, depth - 1, counter));
+	}
+
+	return {site, calls};
+}
+
+function check(graph: Graph, attempts: number, seed: number, failingShare: number): void {
+	const tally: Tally = {
+		runs: new Map(), sent: 0, random: new SeededRandom(seed), failingShare,
+	};
+	makeCall(graph, attempts, tally);
+	let total = 0;
+	for (const runs of tally.runs.values()) {
+		expect(runs).to.be.at.most(attempts);
+		total += runs;
+	}
+
+	expect(total).to.be.at.most(attempts * sitesOf(graph));
+	expect(tally.sent).to.be.at.most(attempts * sitesOf(graph));
+}
+
+describe('splitAttempts', () => {
+	it('never runs a call site more often for one root request than its attempts, for any graph and outcomes', () => {
+		fc.assert(fc.property(fc.nat(), fc.integer({min: 1, max: 6}), fc.integer({min: 0, max: maximumCallDepth}), fc.double({min: 0, max: 1, noNaN: true}), (seed, attempts, depth, failingShare) => {
+			check(randomGraph(new SeededRandom(seed), depth, {sites: 0}), attempts, seed + 1, failingShare);
+		}), {seed: 41, numRuns: 500});
+	});
+
+	it('keeps the bound on a chain of the greatest depth where everything fails', () => {
+		check(chain(maximumCallDepth), 3, 5, 1);
+	});
+
+	it('lets a call that is refused unrun try again as often as its attempts allow', () => {
+		let remaining = 4;
+		let sent = 0;
+		while (remaining > 0) {
+			sent++;
+			remaining = lowerAttempts(splitAttempts(remaining), {kind: 'not-run'});
+		}
+
+		expect(sent).to.equal(4);
+	});
+
+	it('believes no answer that reports more unspent attempts than were passed', () => {
+		expect(lowerAttempts(splitAttempts(3), {kind: 'ran', unspent: 100})).to.equal(2);
+	});
+});
--- a/packages/routing/src/target-routing/index.ts
+++ b/packages/routing/src/target-routing/index.ts
@@ -10,6 +10,7 @@
 	GateLevel, RandomSource, ServiceName, Target, UpstreamId,
 } from '@fireflyglade/model';
 import {chooseSubset} from '../choose-subset/index.js';
+import {LatencyFloor} from '../_lib/latency-floor/index.js';
 import {TargetState} from '../_lib/target-state/index.js';
 import type {
 	AttemptOutcome, Routing, RoutingOptions, TargetChoice, TargetQuery,
@@ -21,11 +22,25 @@
 /** Largest share of a service's targets that outcomes may eject. */
 const largestEjectedShare = 0.5;
 
+/** Latency that is assumed of a service whose latency isn't known. */
+const assumedLatencyMilliseconds = 10;
+/** Cost of the way to another failure domain where it isn't known. */
+const assumedCrossingMilliseconds = 2;
+
+/** What a node knows of one service. */
+type ServiceState = {
+	readonly targets: TargetState[];
+	/** Latency in the own failure domain. */
+	readonly own: LatencyFloor;
+	/** Latency in other failure domains. */
+	readonly others: LatencyFloor;
+};
+
 /** The routing state of one node. */
 export class TargetRouting implements Routing {
 	readonly #options: RoutingOptions;
 	readonly #states = new Map<UpstreamId, TargetState>();
-	readonly #services = new Map<ServiceName, TargetState[]>();
+	readonly #services = new Map<ServiceName, ServiceState>();
 	#drained: ReadonlySet<UpstreamId> = new Set();
 	#started = false;
 
@@ -35,10 +50,12 @@
 
 	setTargets(targets: readonly Target[], now: number): void {
 		const known = new Map(this.#states);
+		const knownServices = new Map(this.#services);
 		this.#states.clear();
 		this.#services.clear();
 		for (const [service, group] of groupByService(targets)) {
-			this.#services.set(service, this.#takeOver(group, known, now));
+			const {own, others} = knownServices.get(service) ?? {own: new LatencyFloor(), others: new LatencyFloor()};
+			this.#services.set(service, {targets: this.#takeOver(group, known, now), own, others});
 		}
 
 		this.#started ||= targets.length > 0;
@@ -49,8 +66,9 @@
 	}
 
 	choose(query: TargetQuery, now: number, random: RandomSource): TargetChoice {
-		const usable = this.#usable(query, now);
-		if (usable.length === 0) {
+		const service = this.#services.get(query.service);
+		const usable = service === undefined ? [] : this.#usable(service, query, now);
+		if (service === undefined || usable.length === 0) {
 			return {kind: 'no-target'};
 		}
 
@@ -59,7 +77,7 @@
 			return {kind: 'all-shedding', retryAfterMilliseconds};
 		}
 
-		return {kind: 'target', target: this.#pick(open, now, random).target};
+		return {kind: 'target', target: this.#pick(service, open, now, random).target};
 	}
 
 	begin(upstream: UpstreamId, _now: number): void {
@@ -96,15 +114,14 @@
 		return states;
 	}
 
-	#usable(query: TargetQuery, now: number): TargetState[] {
-		const states = this.#services.get(query.service) ?? [];
-		return states.filter(state => state.target.available
+	#usable(service: ServiceState, query: TargetQuery, now: number): TargetState[] {
+		return service.targets.filter(state => state.target.available
 			&& !this.#drained.has(state.target.upstream)
 			&& !query.tried.has(state.target.upstream)
 			&& !state.outcomes.isEjected(now));
 	}
 
-	#pick(open: readonly TargetState[], now: number, random: RandomSource): TargetState {
+	#pick(service: ServiceState, open: readonly TargetState[], now: number, random: RandomSource): TargetState {
 		const own = open.filter(state => state.target.domain === this.#options.domain);
 		const others = open.filter(state => state.target.domain !== this.#options.domain);
 		if (own.length === 0) {
@@ -117,13 +134,14 @@
 		}
 
 		const other = pickOfTwo(others, now, random);
-		return other.load(now) < best.load(now) ? other : best;
+		return spillGain(service, best.load(now), other.load(now)) > 0 ? other : best;
 	}
 
 	#recordOutcome(state: TargetState, outcome: AttemptOutcome, now: number): void {
 		switch (outcome.kind) {
 			case 'answered': {
 				state.outcomes.recordSuccess(now);
+				this.#recordLatency(state.target, outcome.latencyMilliseconds);
 				break;
 			}
 
@@ -140,12 +158,18 @@
 		}
 	}
 
+	#recordLatency(target: Target, milliseconds: number): void {
+		const service = this.#services.get(target.service);
+		const floor = target.domain === this.#options.domain ? service?.own : service?.others;
+		floor?.record(milliseconds);
+	}
+
 	#ejectIfAllowed(state: TargetState, now: number): void {
 		if (!state.outcomes.shouldEject()) {
 			return;
 		}
 
-		const states = this.#services.get(state.target.service) ?? [];
+		const states = this.#services.get(state.target.service)?.targets ?? [];
 		const ejected = states.filter(other => other.outcomes.isEjected(now)).length;
 		if (ejected + 1 > states.length * largestEjectedShare) {
 			return;
@@ -156,6 +180,15 @@
 	}
 }
 
+/** Milliseconds that a request is expected to gain in another failure domain. */
+function spillGain(service: ServiceState, ownLoad: number, otherLoad: number): number {
+	const own = service.own.milliseconds ?? assumedLatencyMilliseconds;
+	const others = service.others.milliseconds ?? own + assumedCrossingMilliseconds;
+	const ownWait = Math.max(0, ownLoad - 1) * own;
+	const otherWait = Math.max(0, otherLoad - 1) * own;
+	return own + ownWait - (others + otherWait);
+}
+
 function groupByService(targets: readonly Target[]): Map<ServiceName, Target[]> {
 	const groups = new Map<ServiceName, Target[]>();
 	for (const target of targets) {
