--- /dev/null
+++ b/packages/admission/src/test-support/decision-cost/index.ts
@@ -0,0 +1,54 @@
+/**
+Prints how many decisions admission makes a second on one core. Run it with
+`node packages/admission/dist/test-support/decision-cost/index.js`.
+*/
+
+import {createTeamName, type TeamName} from '@fireflyglade/model';
+import {GateAdmission} from '../../gate-admission/index.js';
+import {createRequest, idsOf} from '../requests/index.js';
+
+const decisions = 200_000;
+const teamCounts = [8, 200];
+const slots = 64;
+
+function createTeams(count: number): TeamName[] {
+	return Array.from({length: count}, (_, index) => createTeamName(`team-${index}`));
+}
+
+/** Offers to a full gate a second; each one ends in a refusal. */
+function measureRefusals(teams: readonly TeamName[]): number {
+	const gate = new GateAdmission({slots, now: 0});
+	const start = performance.now();
+	for (let index = 0; index < decisions; index++) {
+		gate.offer(createRequest(`request-${index}`, {team: teams[index % teams.length]!, deadline: 10_000 + index}), 0);
+	}
+
+	return decisions * 1000 / (performance.now() - start);
+}
+
+/** Requests a second that pass through a full gate: offered, started and finished. */
+function measureRuns(teams: readonly TeamName[]): number {
+	const gate = new GateAdmission({slots, now: 0});
+	const running = [];
+	for (let index = 0; index < slots * 2; index++) {
+		const request = createRequest(`first-${index}`, {team: teams[index % teams.length]!});
+		running.push(...idsOf(gate.offer(request, 0), 'run').map(() => request.requestId));
+	}
+
+	const start = performance.now();
+	for (let index = 0; index < decisions; index++) {
+		gate.offer(createRequest(`request-${index}`, {team: teams[index % teams.length]!}), 0);
+		for (const decision of gate.finish(running.shift()!, 'success', 0)) {
+			running.push(decision.requestId);
+		}
+	}
+
+	return decisions * 1000 / (performance.now() - start);
+}
+
+for (const count of teamCounts) {
+	const teams = createTeams(count);
+	measureRefusals(teams);
+	measureRuns(teams);
+	console.log(`${count} teams: ${Math.round(measureRefusals(teams))} refusals a second, ${Math.round(measureRuns(teams))} runs through the queue a second`);
+}
