Run control processes on the replicated log

Cause: statements, reports and claims need the consensus core and the storage. Change: the control daemon on RaftConsensus and the durable log; members are added (learner first, voter once caught up) and removed by statements, and a member that joins introduces its address; the timers end with the process (a closed process kept a test run alive for 60 s before).

--- a/packages/client/src/format-answer/index.ts
+++ b/packages/client/src/format-answer/index.ts
@@ -46,6 +46,10 @@
 			return answer.rows.length === 0 ? `no rows at revision ${answer.revision}` : printRows(answer.columns, answer.rows);
 		}
 
+		case 'members-changed': {
+			return `members that vote: ${answer.voters.join(', ')}`;
+		}
+
 		case 'help': {
 			return answer.text;
 		}
--- a/packages/client/src/operator-client/index.ts
+++ b/packages/client/src/operator-client/index.ts
@@ -49,7 +49,7 @@
 
 function toAnswer(raw: RawAnswer): StatementAnswer {
 	const kind = readField(raw.body, 'kind');
-	if (kind !== 'changed' && kind !== 'rows' && kind !== 'help') {
+	if (kind !== 'changed' && kind !== 'members-changed' && kind !== 'rows' && kind !== 'help') {
 		throw new UnexpectedAnswerError('the control process answered in an unknown form');
 	}
 
--- a/packages/control/src/_lib/control-rpc.ts
+++ b/packages/control/src/_lib/control-rpc.ts
@@ -3,7 +3,7 @@
 */
 
 import type {MemberId} from '@fireflyglade/model';
-import type {ConsensusMessage} from '@fireflyglade/consensus';
+import type {ConsensusMessage, MembersRefusal} from '@fireflyglade/consensus';
 import type {NodeReport, RpcMethod} from '@fireflyglade/transport';
 
 /** A batch of messages of the replicated log. */
@@ -24,6 +24,25 @@
 /** Passes a command on to the leader. */
 export const proposeMethod: RpcMethod<ProposeRequest, ProposeAnswer> = {service: 'consensus', name: 'propose'};
 
+/** The addresses of members that a control process knows. */
+export type IntroduceMessage = {readonly addresses: ReadonlyMap<MemberId, string>};
+
+/** Exchanges the addresses of members, so that a member that joins is found by the others. */
+export const introduceMethod: RpcMethod<IntroduceMessage, IntroduceMessage> = {service: 'consensus', name: 'introduce'};
+
+/** A change of the members for the leader. */
+export type ChangeMembersRequest = {readonly action: 'add' | 'remove'; readonly member: MemberId};
+
+/** What the leader answers to a change of the members. */
+export type ChangeMembersAnswer =
+	| {readonly kind: 'done'; readonly voters: readonly MemberId[]}
+	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined}
+	| {readonly kind: 'refused'; readonly reason: MembersRefusal | 'not-introduced' | 'not-a-member'}
+	| {readonly kind: 'no-quorum'};
+
+/** Passes a change of the members on to the leader. */
+export const changeMembersMethod: RpcMethod<ChangeMembersRequest, ChangeMembersAnswer> = {service: 'consensus', name: 'changeMembers'};
+
 /** Reports that one control process passes on to the others. */
 export type ShareRequest = {readonly reports: ReadonlyArray<{readonly report: NodeReport; readonly ageMilliseconds: number}>};
 
--- /dev/null
+++ b/packages/control/src/control-process/index.ts
@@ -0,0 +1,235 @@
+/**
+A control process: the replicated log with its state machine, the listener for
+operators, the reports of the nodes and the claims of their gates.
+*/
+
+import {loadStoredState, RaftConsensus} from '@fireflyglade/consensus';
+import {
+	InvalidInputError, SystemClock, type Clock, type MemberId, type Timer,
+} from '@fireflyglade/model';
+import {ConfigurationStateMachine, decodeCommand} from '@fireflyglade/state';
+import {openLogStorage} from '@fireflyglade/storage';
+import {
+	claimMethod, encodeMessage, GrpcRpcClient, GrpcRpcServer, reportMethod, type ClaimCall, type ClaimCallAnswer, type FleetCredentials,
+} from '@fireflyglade/transport';
+import {
+	changeMembersMethod, deliverMethod, introduceMethod, proposeMethod, shareMethod,
+} from '../_lib/control-rpc.js';
+import {CommandProposer} from '../command-proposer/index.js';
+import {NoQuorumError, type StorageFailedError} from '../errors/index.js';
+import {FleetRegistry} from '../fleet-registry/index.js';
+import {MemberChannel} from '../member-channel/index.js';
+import {MemberDirectory} from '../member-directory/index.js';
+import {MemberService} from '../member-service/index.js';
+import {OperatorListener} from '../operator-listener/index.js';
+import {QueryService} from '../query-service/index.js';
+import {ReplicatedLog} from '../replicated-log/index.js';
+import {ReportService} from '../report-service/index.js';
+import {StatementService, type Operator} from '../statement-service/index.js';
+
+/** What a control process needs to start. */
+export type ControlProcessOptions = {
+	readonly member: MemberId;
+	readonly dataFolder: string;
+	readonly operatorAddress: string;
+	readonly rpcAddress: string;
+	/** RPC address of each member, this one among them. */
+	readonly members: Map<MemberId, string>;
+	/** True if the log already exists and this process waits until it is added. */
+	readonly join?: boolean;
+	readonly operators: readonly Operator[];
+	readonly credentials: FleetCredentials;
+	/** Seed of the election timeouts. */
+	readonly randomSeed: number;
+	readonly clock?: Clock;
+	/** Called if the disk fails: the process must end. */
+	readonly onStorageFailure: (error: StorageFailedError) => void;
+};
+
+type ControlParts = {
+	readonly clock: Clock;
+	readonly client: GrpcRpcClient;
+	readonly log: ReplicatedLog;
+	readonly directory: MemberDirectory;
+};
+
+const electionTimeoutMilliseconds = 400;
+const heartbeatIntervalMilliseconds = 80;
+const forgetIntervalMilliseconds = 60_000;
+
+/** A running control process. */
+export class ControlProcess {
+	/**
+	Opens the data folder and starts to listen.
+
+	@throws {FireflygladeError} The data folder is damaged or in use, or an address can't be listened on.
+	*/
+	static async start(options: ControlProcessOptions): Promise<ControlProcess> {
+		const control = await ControlProcess.#open(options);
+		await control.#listen(options);
+		return control;
+	}
+
+	static async #open(options: ControlProcessOptions): Promise<ControlProcess> {
+		const clock = options.clock ?? new SystemClock();
+		const client = new GrpcRpcClient(options.credentials);
+		const storage = await openLogStorage(options.dataFolder);
+		const stored = await loadStoredState(storage);
+		const consensus = new RaftConsensus({
+			member: options.member,
+			stored,
+			...(options.join === true ? {} : {initialMembers: {voters: [...options.members.keys()], learners: []}}),
+			randomSeed: options.randomSeed,
+			now: clock.now(),
+			electionTimeoutMilliseconds,
+			heartbeatIntervalMilliseconds,
+		});
+		const directory = new MemberDirectory({
+			member: options.member, addresses: options.members, client, clock,
+		});
+		const channel = new MemberChannel(client, directory.addresses);
+		const {snapshot} = stored;
+		const log = new ReplicatedLog({
+			consensus,
+			storage,
+			clock,
+			machine: snapshot === undefined ? new ConfigurationStateMachine() : ConfigurationStateMachine.restore(snapshot.data),
+			appliedIndex: snapshot?.lastIndex ?? 0,
+			send(message) {
+				channel.send(message);
+			},
+			onStorageFailure: options.onStorageFailure,
+		});
+		return new ControlProcess(options, {
+			clock, client, log, directory,
+		});
+	}
+
+	readonly #clock: Clock;
+	readonly #client: GrpcRpcClient;
+	readonly #server: GrpcRpcServer;
+	readonly #log: ReplicatedLog;
+	readonly #registry = new FleetRegistry();
+	readonly #reports: ReportService;
+	readonly #proposer: CommandProposer;
+	readonly #directory: MemberDirectory;
+	readonly #members: MemberService;
+	readonly #operatorListener: OperatorListener;
+	#operatorUrl = '';
+	#rpcAddress = '';
+	#isClosed = false;
+	#forgetTimer: Timer | undefined;
+
+	private constructor(options: ControlProcessOptions, parts: ControlParts) {
+		const {
+			clock, client, log, directory,
+		} = parts;
+		this.#clock = clock;
+		this.#client = client;
+		this.#log = log;
+		this.#directory = directory;
+		this.#server = new GrpcRpcServer(options.credentials);
+		this.#reports = new ReportService({
+			log,
+			registry: this.#registry,
+			clock,
+			client,
+			otherMembers: () => directory.others(),
+		});
+		this.#proposer = new CommandProposer({
+			log, client, addresses: directory.addresses, clock,
+		});
+		this.#members = new MemberService({
+			log, directory, client, clock,
+		});
+		const queries = new QueryService({log, registry: this.#registry, clock});
+		this.#operatorListener = new OperatorListener({
+			statements: new StatementService({
+				log, proposer: this.#proposer, registry: this.#registry, members: this.#members, queries, clock,
+			}),
+			operators: options.operators,
+			isReady: () => this.#reports.hasQuorum(),
+		});
+	}
+
+	/** Base URL for operators. */
+	get operatorUrl(): string {
+		return this.#operatorUrl;
+	}
+
+	/** `host:port` of the RPC listener. */
+	get rpcAddress(): string {
+		return this.#rpcAddress;
+	}
+
+	/** The replicated log, for its state and status. */
+	get log(): ReplicatedLog {
+		return this.#log;
+	}
+
+	/** Hands leadership over, finishes what runs and closes the data folder. */
+	async close(): Promise<void> {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
+		this.#forgetTimer?.cancel();
+		this.#directory.close();
+		this.#reports.close();
+		await this.#operatorListener.close();
+		await this.#log.close();
+		await this.#server.close();
+		this.#client.close();
+	}
+
+	async #listen(options: ControlProcessOptions): Promise<void> {
+		this.#server.handle(deliverMethod, async ({messages}) => {
+			for (const message of messages) {
+				this.#log.receive(message);
+			}
+
+			return {};
+		});
+		this.#server.handle(proposeMethod, async request => this.#proposer.answer(request));
+		this.#server.handle(introduceMethod, async message => this.#directory.exchange(message));
+		this.#server.handle(changeMembersMethod, async request => this.#members.answer(request));
+		this.#server.handle(shareMethod, async request => {
+			this.#reports.receiveShared(request);
+			return {};
+		});
+		this.#server.handle(reportMethod, async report => this.#reports.answer(report));
+		this.#server.handle(claimMethod, async call => this.#claim(call));
+		this.#rpcAddress = await this.#server.listen(options.rpcAddress);
+		this.#operatorUrl = await this.#operatorListener.listen(options.operatorAddress);
+		this.#directory.start(this.#rpcAddress);
+		this.#log.start();
+		this.#reports.start();
+		this.#forgetLater();
+	}
+
+	async #claim(call: ClaimCall): Promise<ClaimCallAnswer> {
+		const command = decodeCommand(call.command);
+		if (command.kind === 'change') {
+			throw new InvalidInputError('a gate may begin and finish claims alone');
+		}
+
+		try {
+			const result = await this.#proposer.submit({...command, at: this.#clock.wallNow()});
+			return {kind: 'result', result: encodeMessage(result)};
+		} catch (error: unknown) {
+			if (error instanceof NoQuorumError) {
+				return {kind: 'no-quorum'};
+			}
+
+			throw error;
+		}
+	}
+
+	#forgetLater(): void {
+		this.#forgetTimer = this.#clock.startTimer(forgetIntervalMilliseconds, () => {
+			this.#registry.forgetSilent(this.#clock.now());
+			this.#forgetLater();
+		});
+	}
+}
--- a/packages/control/src/errors/index.ts
+++ b/packages/control/src/errors/index.ts
@@ -31,3 +31,17 @@
 		return 'unknown-operator';
 	}
 }
+
+/** The replicated log refused what it should never refuse. */
+export class UnexpectedRefusalError extends FireflygladeError {
+	get code(): 'unexpected-refusal' {
+		return 'unexpected-refusal';
+	}
+}
+
+/** A change of the members was refused. */
+export class MembersRefusedError extends FireflygladeError {
+	get code(): 'members-refused' {
+		return 'members-refused';
+	}
+}
--- /dev/null
+++ b/packages/control/src/member-directory/index.ts
@@ -0,0 +1,106 @@
+/**
+The RPC addresses of the members.
+
+The settings name the members of the first start. A member that joins later
+introduces itself to those that it knows; members tell each other all that they
+know every few seconds, so that the addresses survive restarts one after
+another.
+*/
+
+import type {Clock, MemberId, Timer} from '@fireflyglade/model';
+import type {RpcClient} from '@fireflyglade/transport';
+import {introduceMethod, type IntroduceMessage} from '../_lib/control-rpc.js';
+
+/** What the directory needs. */
+export type MemberDirectoryOptions = {
+	readonly member: MemberId;
+	/** Addresses from the settings; the caller may add to them. */
+	readonly addresses: Map<MemberId, string>;
+	readonly client: RpcClient;
+	readonly clock: Clock;
+};
+
+const introduceIntervalMilliseconds = 2000;
+const firstIntroductionMilliseconds = 50;
+const introduceTimeoutMilliseconds = 1000;
+
+/** The RPC addresses of the members. */
+export class MemberDirectory {
+	readonly #options: MemberDirectoryOptions;
+	#timer: Timer | undefined;
+	#isClosed = false;
+
+	constructor(options: MemberDirectoryOptions) {
+		this.#options = options;
+	}
+
+	/** Addresses by member. */
+	get addresses(): ReadonlyMap<MemberId, string> {
+		return this.#options.addresses;
+	}
+
+	/** Sets this process's own address and starts to introduce it. */
+	start(ownAddress: string): void {
+		this.#options.addresses.set(this.#options.member, ownAddress);
+		this.#introduceLater(firstIntroductionMilliseconds);
+	}
+
+	/** Takes what another member knows, and tells what is known here. */
+	exchange(message: IntroduceMessage): IntroduceMessage {
+		for (const [member, address] of message.addresses) {
+			if (member !== this.#options.member) {
+				this.#options.addresses.set(member, address);
+			}
+		}
+
+		return {addresses: this.#options.addresses};
+	}
+
+	/** Addresses of the others. */
+	others(): readonly string[] {
+		return [...this.#options.addresses].filter(([member]) => member !== this.#options.member).map(([, address]) => address);
+	}
+
+	close(): void {
+		this.#isClosed = true;
+		this.#timer?.cancel();
+	}
+
+	#introduceLater(delay: number): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#timer = this.#options.clock.startTimer(delay, () => {
+			this.#introduce();
+			this.#introduceLater(introduceIntervalMilliseconds);
+		});
+	}
+
+	/** Tells the others this process's own address; each member speaks for itself alone. */
+	#introduce(): void {
+		const own = this.#options.addresses.get(this.#options.member)!;
+		const message: IntroduceMessage = {addresses: new Map([[this.#options.member, own]])};
+		for (const address of this.others()) {
+			void this.#introduceTo(address, message);
+		}
+	}
+
+	async #introduceTo(address: string, message: IntroduceMessage): Promise<void> {
+		try {
+			const answer = await this.#options.client.call(introduceMethod, address, message, {timeoutMilliseconds: introduceTimeoutMilliseconds});
+			this.#learnUnknown(answer);
+		} catch {
+			// The next introduction follows.
+		}
+	}
+
+	/** What a member says of a third one counts only while nothing else is known of it. */
+	#learnUnknown(answer: IntroduceMessage): void {
+		for (const [member, address] of answer.addresses) {
+			if (!this.#options.addresses.has(member)) {
+				this.#options.addresses.set(member, address);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/control/src/member-service/index.ts
@@ -0,0 +1,175 @@
+/**
+Changes the members of the replicated log, one step after the other: a new
+member first receives the log without a vote, and votes once it has caught up.
+*/
+
+import {
+	UnreachableError, type Clock, type MemberId,
+} from '@fireflyglade/model';
+import type {MemberSet, MembersRefusal} from '@fireflyglade/consensus';
+import {RpcError, type RpcClient} from '@fireflyglade/transport';
+import {
+	changeMembersMethod, type ChangeMembersAnswer, type ChangeMembersRequest,
+} from '../_lib/control-rpc.js';
+import {MembersRefusedError, NoQuorumError} from '../errors/index.js';
+import type {MemberDirectory} from '../member-directory/index.js';
+import type {ReplicatedLog} from '../replicated-log/index.js';
+
+/** What the member service needs. */
+export type MemberServiceOptions = {
+	readonly log: ReplicatedLog;
+	readonly directory: MemberDirectory;
+	readonly client: RpcClient;
+	readonly clock: Clock;
+};
+
+type Refusal = Extract<ChangeMembersAnswer, {kind: 'refused'}>['reason'];
+
+const changeTimeoutMilliseconds = 30_000;
+const retryIntervalMilliseconds = 50;
+
+/** Refusals that pass by themselves. */
+const passingRefusals: ReadonlySet<Refusal> = new Set<MembersRefusal>(['change-pending', 'leader-not-ready', 'not-caught-up']);
+
+const refusalTexts: Readonly<Record<Refusal, string>> = {
+	'change-pending': 'another change of the members is under way',
+	'leader-not-ready': 'the leader is not ready yet',
+	'not-one-step': 'members change one at a time',
+	'not-caught-up': 'the new member has not received the whole log in time',
+	'no-voter-left': 'the last member that votes can\'t be removed',
+	'not-introduced': 'the new member has not introduced itself: start it with "join" first',
+	'not-a-member': 'there is no such member',
+};
+
+function without(members: readonly MemberId[], member: MemberId): readonly MemberId[] {
+	return members.filter(other => other !== member);
+}
+
+/** The next step towards the wanted members, or undefined if they are reached. */
+export function nextMemberStep(members: MemberSet, {action, member}: ChangeMembersRequest): MemberSet | undefined {
+	switch (action) {
+		case 'add': {
+			if (members.voters.includes(member)) {
+				return undefined;
+			}
+
+			return members.learners.includes(member)
+				? {voters: [...members.voters, member], learners: without(members.learners, member)}
+				: {voters: members.voters, learners: [...members.learners, member]};
+		}
+
+		case 'remove': {
+			return members.voters.includes(member) || members.learners.includes(member)
+				? {voters: without(members.voters, member), learners: without(members.learners, member)}
+				: undefined;
+		}
+
+		default: {
+			throw new UnreachableError(action);
+		}
+	}
+}
+
+/** Changes the members of the replicated log. */
+export class MemberService {
+	readonly #options: MemberServiceOptions;
+
+	constructor(options: MemberServiceOptions) {
+		this.#options = options;
+	}
+
+	/**
+	Changes the members, wherever the leader is, and returns those that vote.
+
+	@throws {MembersRefusedError} The change is not possible.
+	@throws {NoQuorumError} It was not finished in time; asking again goes on where it stopped.
+	*/
+	async change(request: ChangeMembersRequest): Promise<readonly MemberId[]> {
+		const {clock} = this.#options;
+		const giveUpAt = clock.now() + changeTimeoutMilliseconds;
+		for (;;) {
+			const answer = await this.#tryOnce(request);
+			if (answer?.kind === 'done') {
+				return answer.voters;
+			}
+
+			if (answer?.kind === 'refused' && (!passingRefusals.has(answer.reason) || clock.now() >= giveUpAt)) {
+				throw new MembersRefusedError(refusalTexts[answer.reason]);
+			}
+
+			if (clock.now() >= giveUpAt) {
+				throw new NoQuorumError('the members were not changed in time');
+			}
+
+			await this.#pause();
+		}
+	}
+
+	/** Takes one step if this process leads; answers the process that passed the change on. */
+	async answer(request: ChangeMembersRequest): Promise<ChangeMembersAnswer> {
+		const status = this.#options.log.status();
+		if (status.role !== 'leader') {
+			return {kind: 'not-leader', leader: status.leader};
+		}
+
+		const refusal = this.#findRefusal(status.members, request);
+		if (refusal !== undefined) {
+			return {kind: 'refused', reason: refusal};
+		}
+
+		const next = nextMemberStep(status.members, request);
+		return next === undefined ? {kind: 'done', voters: status.members.voters} : this.#propose(next);
+	}
+
+	#findRefusal(members: MemberSet, {action, member}: ChangeMembersRequest): Refusal | undefined {
+		return action === 'add' && !members.voters.includes(member) && !this.#options.directory.addresses.has(member)
+			? 'not-introduced'
+			: undefined;
+	}
+
+	/** A step that was committed is answered as one that must be tried again, until none is left. */
+	async #propose(next: MemberSet): Promise<ChangeMembersAnswer> {
+		try {
+			const outcome = await this.#options.log.proposeMembers(next);
+			if (outcome.kind === 'members-refused') {
+				return {kind: 'refused', reason: outcome.reason};
+			}
+
+			return outcome.kind === 'not-leader' ? outcome : {kind: 'refused', reason: 'change-pending'};
+		} catch (error: unknown) {
+			if (error instanceof NoQuorumError) {
+				return {kind: 'no-quorum'};
+			}
+
+			throw error;
+		}
+	}
+
+	async #tryOnce(request: ChangeMembersRequest): Promise<ChangeMembersAnswer | undefined> {
+		const own = await this.answer(request);
+		if (own.kind !== 'not-leader') {
+			return own;
+		}
+
+		const address = own.leader === undefined ? undefined : this.#options.directory.addresses.get(own.leader);
+		if (address === undefined) {
+			return undefined;
+		}
+
+		try {
+			return await this.#options.client.call(changeMembersMethod, address, request, {timeoutMilliseconds: 5000});
+		} catch (error: unknown) {
+			if (error instanceof RpcError) {
+				return undefined;
+			}
+
+			throw error;
+		}
+	}
+
+	async #pause(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#options.clock.startTimer(retryIntervalMilliseconds, resolve);
+		});
+	}
+}
--- a/packages/control/src/replicated-log/index.ts
+++ b/packages/control/src/replicated-log/index.ts
@@ -4,8 +4,8 @@
 those who proposed.
 */
 
-import type {
-	Consensus, ConsensusAction, ConsensusMessage, ConsensusStatus, LogEntry, MemberSet, Snapshot,
+import {
+	writePersistAction, type Consensus, type ConsensusAction, type ConsensusMessage, type ConsensusStatus, type LogEntry, type MemberSet, type MembersRefusal, type PersistAction, type Snapshot,
 } from '@fireflyglade/consensus';
 import {
 	type FireflygladeError, UnreachableError, type Clock, type MemberId, type Timer,
@@ -14,8 +14,9 @@
 	ConfigurationStateMachine, decodeCommand, encodeCommand, type Command, type CommandResult,
 } from '@fireflyglade/state';
 import type {LogStorage} from '@fireflyglade/storage';
-import {NoQuorumError, ShuttingDownError, StorageFailedError} from '../errors/index.js';
-import {encodeEntry, encodeHardState, encodeSnapshot} from '../_lib/log-codec.js';
+import {
+	NoQuorumError, ShuttingDownError, StorageFailedError, UnexpectedRefusalError,
+} from '../errors/index.js';
 
 /** What the replicated log needs. */
 export type ReplicatedLogOptions = {
@@ -25,9 +26,6 @@
 	readonly machine: ConfigurationStateMachine;
 	/** Index up to which `machine` has applied the log. */
 	readonly appliedIndex: number;
-	readonly appliedTerm: number;
-	/** Members as of `appliedIndex`. */
-	readonly members: MemberSet;
 	readonly send: (message: ConsensusMessage) => void;
 	/** Called once if the disk fails; the process must end. */
 	readonly onStorageFailure: (error: StorageFailedError) => void;
@@ -40,13 +38,17 @@
 	| {readonly kind: 'result'; readonly result: CommandResult}
 	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined};
 
+/** What became of one step of a change of the members. */
+export type MembersOutcome =
+	| {readonly kind: 'committed'}
+	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined}
+	| {readonly kind: 'members-refused'; readonly reason: MembersRefusal};
+
 type Waiter = {
 	readonly resolve: (result: CommandResult) => void;
 	readonly reject: (error: FireflygladeError) => void;
 };
 
-type PersistAction = Extract<ConsensusAction, {kind: 'persist'}>;
-
 const tickIntervalMilliseconds = 10;
 const proposalTimeoutMilliseconds = 3000;
 const readTimeoutMilliseconds = 3000;
@@ -57,8 +59,6 @@
 	readonly #options: ReplicatedLogOptions;
 	#machine: ConfigurationStateMachine;
 	#appliedIndex: number;
-	#appliedTerm: number;
-	#members: MemberSet;
 	#snapshotIndex: number;
 	#persisting: Promise<void> = Promise.resolve();
 	#tickTimer: Timer | undefined;
@@ -66,6 +66,7 @@
 	#nextReadId = 1;
 	readonly #proposals = new Map<number, Waiter>();
 	readonly #reads = new Map<number, {readonly resolve: () => void; readonly reject: (error: FireflygladeError) => void}>();
+	readonly #memberChanges = new Map<number, {readonly resolve: () => void; readonly reject: (error: FireflygladeError) => void}>();
 	readonly #resultsByIndex = new Map<number, Waiter>();
 	readonly #unclaimedResults = new Map<number, CommandResult>();
 	readonly #appliedListeners = new Set<() => void>();
@@ -74,9 +75,7 @@
 		this.#options = options;
 		this.#machine = options.machine;
 		this.#appliedIndex = options.appliedIndex;
-		this.#appliedTerm = options.appliedTerm;
 		this.#snapshotIndex = options.appliedIndex;
-		this.#members = options.members;
 	}
 
 	/** Starts the ticks of the core. */
@@ -120,6 +119,10 @@
 		}
 
 		const proposal = this.#options.consensus.propose({kind: 'command', command: encodeCommand(command)}, this.#options.clock.now());
+		if (proposal.kind === 'members-refused') {
+			throw new UnexpectedRefusalError(`the replicated log refused a command: ${proposal.reason}`);
+		}
+
 		if (proposal.kind === 'not-leader') {
 			return proposal;
 		}
@@ -129,6 +132,23 @@
 		return {kind: 'result', result: await result};
 	}
 
+	/**
+	Proposes one step of a change of the members if this member leads.
+
+	@throws {NoQuorumError} The change was not committed in time; it may still be.
+	*/
+	async proposeMembers(members: MemberSet): Promise<MembersOutcome> {
+		const proposal = this.#options.consensus.propose({kind: 'members', members}, this.#options.clock.now());
+		if (proposal.kind !== 'accepted') {
+			return proposal;
+		}
+
+		const committed = this.#withTimeout<void>(proposalTimeoutMilliseconds, this.#memberChanges, proposal.proposalId);
+		this.#run(proposal.actions);
+		await committed;
+		return {kind: 'committed'};
+	}
+
 	/**
 	Waits until the state machine holds all that was committed before the call (a linearizable read).
 
@@ -152,9 +172,7 @@
 		this.#isClosed = true;
 		this.#tickTimer?.cancel();
 		const error = new ShuttingDownError('the control process shuts down');
-		for (const waiter of [...this.#proposals.values(), ...this.#resultsByIndex.values(), ...this.#reads.values()]) {
-			waiter.reject(error);
-		}
+		this.#rejectAll(error);
 
 		await this.#persisting;
 		await this.#options.storage.close();
@@ -240,8 +258,7 @@
 			}
 
 			case 'proposal-lost': {
-				this.#proposals.get(action.proposalId)?.reject(new NoQuorumError('leadership was lost before the command was committed'));
-				this.#proposals.delete(action.proposalId);
+				this.#loseProposal(action.proposalId);
 				return;
 			}
 
@@ -268,7 +285,7 @@
 	async #persistAfter(previous: Promise<void>, action: PersistAction): Promise<void> {
 		await previous;
 		try {
-			await this.#write(action);
+			await writePersistAction(this.#options.storage, action);
 		} catch (error: unknown) {
 			this.#fail(error);
 			return;
@@ -279,24 +296,6 @@
 		}
 	}
 
-	async #write(action: PersistAction): Promise<void> {
-		const {storage} = this.#options;
-		if (action.snapshot !== undefined) {
-			await storage.saveSnapshot(encodeSnapshot(action.snapshot));
-		}
-
-		const hasRecords = action.entries.length > 0 || action.truncateFrom !== undefined;
-		if (!hasRecords && action.hardState === undefined) {
-			return;
-		}
-
-		await storage.write({
-			records: action.entries.map(entry => encodeEntry(entry)),
-			...(action.truncateFrom === undefined ? {} : {truncateFrom: action.truncateFrom}),
-			...(action.hardState === undefined ? {} : {value: encodeHardState(action.hardState)}),
-		});
-	}
-
 	#fail(cause: unknown): void {
 		if (this.#isClosed) {
 			return;
@@ -306,18 +305,22 @@
 		this.#tickTimer?.cancel();
 		const reason = cause instanceof Error ? cause.message : 'unknown reason';
 		const error = new StorageFailedError(`the data folder could not be written: ${reason}`, {cause});
-		for (const waiter of [...this.#proposals.values(), ...this.#resultsByIndex.values(), ...this.#reads.values()]) {
-			waiter.reject(error);
-		}
+		this.#rejectAll(error);
 
 		this.#options.onStorageFailure(error);
 	}
 
+	#rejectAll(error: FireflygladeError): void {
+		const waiters = [...this.#proposals.values(), ...this.#memberChanges.values(), ...this.#resultsByIndex.values(), ...this.#reads.values()];
+		for (const waiter of waiters) {
+			waiter.reject(error);
+		}
+	}
+
 	#apply(entries: readonly LogEntry[]): void {
 		for (const entry of entries) {
 			this.#applyOne(entry);
 			this.#appliedIndex = entry.index;
-			this.#appliedTerm = entry.term;
 		}
 
 		for (const listener of this.#appliedListeners) {
@@ -329,12 +332,8 @@
 
 	#applyOne(entry: LogEntry): void {
 		switch (entry.payload.kind) {
-			case 'empty': {
-				return;
-			}
-
+			case 'empty':
 			case 'members': {
-				this.#members = entry.payload.members;
 				return;
 			}
 
@@ -366,7 +365,21 @@
 		}
 	}
 
+	#loseProposal(proposalId: number): void {
+		const waiter = this.#proposals.get(proposalId) ?? this.#memberChanges.get(proposalId);
+		this.#proposals.delete(proposalId);
+		this.#memberChanges.delete(proposalId);
+		waiter?.reject(new NoQuorumError('leadership was lost before the proposal was committed'));
+	}
+
 	#claimResult(proposalId: number, index: number): void {
+		const change = this.#memberChanges.get(proposalId);
+		if (change !== undefined) {
+			this.#memberChanges.delete(proposalId);
+			change.resolve();
+			return;
+		}
+
 		const waiter = this.#proposals.get(proposalId);
 		this.#proposals.delete(proposalId);
 		if (waiter === undefined) {
@@ -386,9 +399,7 @@
 	#restore(snapshot: Snapshot): void {
 		this.#machine = ConfigurationStateMachine.restore(snapshot.data);
 		this.#appliedIndex = snapshot.lastIndex;
-		this.#appliedTerm = snapshot.lastTerm;
 		this.#snapshotIndex = snapshot.lastIndex;
-		this.#members = snapshot.members;
 		for (const listener of this.#appliedListeners) {
 			listener();
 		}
@@ -400,9 +411,7 @@
 		}
 
 		this.#snapshotIndex = this.#appliedIndex;
-		const snapshot: Snapshot = {
-			lastIndex: this.#appliedIndex, lastTerm: this.#appliedTerm, members: this.#members, data: this.#machine.save(),
-		};
-		this.#run(this.#options.consensus.compact(snapshot, this.#options.clock.now()));
+		const saved = {lastIndex: this.#appliedIndex, data: this.#machine.save()};
+		this.#run(this.#options.consensus.compact(saved, this.#options.clock.now()));
 	}
 }
--- a/packages/control/src/report-service/index.ts
+++ b/packages/control/src/report-service/index.ts
@@ -5,7 +5,9 @@
 so that a change reaches the nodes at once and an idle fleet costs little.
 */
 
-import type {Clock, ConfigurationUpdate, Revision} from '@fireflyglade/model';
+import type {
+	Clock, ConfigurationUpdate, Revision, Timer,
+} from '@fireflyglade/model';
 import type {NodeReport, ReportAnswer, RpcClient} from '@fireflyglade/transport';
 import {shareMethod, type ShareRequest} from '../_lib/control-rpc.js';
 import type {FleetRegistry} from '../fleet-registry/index.js';
@@ -33,6 +35,7 @@
 	readonly #waiting = new Set<() => void>();
 	#isClosed = false;
 	#sharedUntil = 0;
+	#shareTimer: Timer | undefined;
 	readonly #stopListening: () => void;
 
 	constructor(options: ReportServiceOptions) {
@@ -67,12 +70,14 @@
 	/** True if this process leads or follows a leader that has heard its quorum lately. */
 	hasQuorum(): boolean {
 		const status = this.#options.log.status();
-		return status.leader !== undefined && this.#options.clock.now() - status.quorumHeardAt <= quorumFreshnessMilliseconds;
+		const heardAt = status.quorumHeardAt ?? Number.NEGATIVE_INFINITY;
+		return status.leader !== undefined && this.#options.clock.now() - heardAt <= quorumFreshnessMilliseconds;
 	}
 
 	/** Answers all that wait. */
 	close(): void {
 		this.#isClosed = true;
+		this.#shareTimer?.cancel();
 		this.#stopListening();
 		this.#wakeAll();
 	}
@@ -121,7 +126,7 @@
 
 	#shareLater(): void {
 		if (!this.#isClosed) {
-			this.#options.clock.startTimer(shareIntervalMilliseconds, () => {
+			this.#shareTimer = this.#options.clock.startTimer(shareIntervalMilliseconds, () => {
 				this.#share();
 				this.#shareLater();
 			});
--- a/packages/control/src/statement-service/index.ts
+++ b/packages/control/src/statement-service/index.ts
@@ -11,11 +11,12 @@
 	helpText, parseStatement, toConfigurationChange, type ChangeStatement, type Statement, type StatementAnswer,
 } from '@fireflyglade/language';
 import {
-	FireflygladeError, UnreachableError, type Clock, type CommandId, type KeyDigest, type KeyId, type Revision,
+	createMemberId, FireflygladeError, UnreachableError, type Clock, type CommandId, type KeyDigest, type KeyId, type Revision,
 } from '@fireflyglade/model';
 import type {ChangeRefusal, CommandResult} from '@fireflyglade/state';
 import type {CommandProposer} from '../command-proposer/index.js';
 import type {FleetRegistry, RevisionProgress} from '../fleet-registry/index.js';
+import type {MemberService} from '../member-service/index.js';
 import type {QueryService} from '../query-service/index.js';
 import type {ReplicatedLog} from '../replicated-log/index.js';
 
@@ -59,6 +60,7 @@
 	readonly log: ReplicatedLog;
 	readonly proposer: CommandProposer;
 	readonly registry: FleetRegistry;
+	readonly members: MemberService;
 	readonly queries: QueryService;
 	readonly clock: Clock;
 };
@@ -125,6 +127,12 @@
 				return this.#change(request, statement);
 			}
 
+			case 'members': {
+				this.#checkMayChange(request.operator);
+				const voters = await this.#options.members.change({action: statement.action, member: createMemberId(statement.member)});
+				return {kind: 'members-changed', voters};
+			}
+
 			case 'query': {
 				return this.#options.queries.answer(statement.query);
 			}
@@ -140,10 +148,7 @@
 	}
 
 	async #change(request: StatementRequest, statement: Extract<Statement, {kind: 'change'}>): Promise<StatementAnswer> {
-		if (request.operator.role !== 'operator') {
-			throw new ForbiddenStatementError(`the token ${request.operator.name} may show but not change`);
-		}
-
+		this.#checkMayChange(request.operator);
 		const key = deriveKey(request.operator.token, request.commandId);
 		const result = await this.#options.proposer.submit({
 			kind: 'change',
@@ -159,6 +164,12 @@
 		return this.#answerChange(result, statement.change, key);
 	}
 
+	#checkMayChange(operator: Operator): void {
+		if (operator.role !== 'operator') {
+			throw new ForbiddenStatementError(`the token ${operator.name} may show but not change`);
+		}
+	}
+
 	async #answerChange(result: CommandResult, change: ChangeStatement, key: IssuedKey): Promise<StatementAnswer> {
 		if (result.kind === 'refused') {
 			throw new ChangeRefusedError(result.refusal);
--- a/packages/language/src/_lib/statement-parser/index.ts
+++ b/packages/language/src/_lib/statement-parser/index.ts
@@ -21,6 +21,7 @@
 	readonly statement = this.RULE('statement', (): Statement => this.OR<Statement>([
 		{ALT: () => this.SUBRULE(this.queryRule)},
 		{ALT: () => this.SUBRULE(this.#help)},
+		{ALT: () => this.SUBRULE(this.#members)},
 		{ALT: () => this.SUBRULE(this.#conditionalChange)},
 	]));
 
@@ -30,6 +31,12 @@
 		return topic === undefined ? {kind: 'help'} : {kind: 'help', topic};
 	});
 
+	readonly #members = this.RULE('members', (): Statement => {
+		const action = this.OR<'add' | 'remove'>([this.constant('add', 'add'), this.constant('remove', 'remove')]);
+		this.CONSUME(keyword('member'));
+		return {kind: 'members', action, member: this.SUBRULE(this.nameRule)};
+	});
+
 	readonly #conditionalChange = this.RULE('conditionalChange', (): Statement => {
 		const change = this.SUBRULE(this.#change);
 		const expectedRevision = this.OPTION(() => {
--- a/packages/language/src/help-text/index.ts
+++ b/packages/language/src/help-text/index.ts
@@ -40,6 +40,11 @@
 
 The weight is the domain's part of every team's rate. The witnesses, three or five nodes of the
 domain, grant its leases; change them one at a time.`,
+	members: `add member NAME                        lets a control process that has started with "join" take part
+remove member NAME                     for a VM that is lost or replaced
+show members
+
+A replaced VM comes back under a new name: add the new member first, then remove the old one.`,
 	show: `show teams|keys|routes|upstreams|nodes|domains|members|history|revision
   [where CONDITION] [order by COLUMN [desc], …] [limit N]
 
@@ -60,6 +65,7 @@
   create, change, delete route     help routes
   drain, undrain upstream          help upstreams
   set, delete domain               help domains
+  add, remove member               help members
   show …                           help show
   … if revision N                  help revisions`;
 
--- a/packages/language/src/parse-statement/test.ts
+++ b/packages/language/src/parse-statement/test.ts
@@ -25,6 +25,8 @@
 	'set domain north weight 1 witnesses n1, n2, n3',
 	'delete domain north',
 	'show teams where refused > 0 and (team like "b*" or not rate <= 5) order by goodput desc, team limit 5',
+	'add member control-4',
+	'remove member control-1',
 	'show history',
 	'show revision',
 	'help',
@@ -94,6 +96,7 @@
 }));
 
 const anyStatement: fc.Arbitrary<Statement> = fc.oneof(
+	fc.record({kind: fc.constant('members' as const), action: fc.constantFrom('add' as const, 'remove' as const), member: name}),
 	fc.record({kind: fc.constant('change' as const), change, expectedRevision: count.map(value => value as Revision)}, {requiredKeys: ['kind', 'change']}),
 	fc.record({
 		kind: fc.constant('query' as const),
--- a/packages/language/src/print-statement/index.ts
+++ b/packages/language/src/print-statement/index.ts
@@ -170,6 +170,10 @@
 			return printQuery(statement.query);
 		}
 
+		case 'members': {
+			return `${statement.action} member ${printName(statement.member)}`;
+		}
+
 		case 'help': {
 			return statement.topic === undefined ? 'help' : `help ${statement.topic}`;
 		}
--- a/packages/language/src/types.ts
+++ b/packages/language/src/types.ts
@@ -58,9 +58,17 @@
 	readonly limit?: number;
 };
 
+/** A statement that changes the members of the control processes' replicated log. */
+export type MemberStatement = {
+	readonly kind: 'members';
+	readonly action: 'add' | 'remove';
+	readonly member: string;
+};
+
 /** A parsed statement. */
 export type Statement =
 	| {readonly kind: 'change'; readonly change: ChangeStatement; readonly expectedRevision?: Revision}
+	| MemberStatement
 	| {readonly kind: 'query'; readonly query: QueryStatement}
 	| {readonly kind: 'help'; readonly topic?: string};
 
@@ -85,6 +93,8 @@
 		readonly secret?: string;
 	}
 	| {readonly kind: 'rows'; readonly revision: number; readonly columns: readonly string[]; readonly rows: readonly Row[]}
+	/** The voters after members were changed. */
+	| {readonly kind: 'members-changed'; readonly voters: readonly string[]}
 	| {readonly kind: 'help'; readonly text: string};
 
 /** The error of a statement, as JSON over HTTP. */
