Count what an exploration covers and limit its disk losses

Cause: seed 565 lost the disks of a majority before the third member had heard of the first leader; nothing was left that could contradict a new beginning, so the check asked for the impossible. And the summary didn't show what was covered.

--- a/packages/consensus/src/test-support/explore.ts
+++ b/packages/consensus/src/test-support/explore.ts
@@ -43,6 +43,9 @@
 	readonly reads: number;
 	readonly writes: number;
 	readonly terms: number;
+	/** Snapshots taken over from a leader or from the disk. */
+	readonly snapshots: number;
+	readonly memberChanges: number;
 };
 
 /** Options of a run. */
@@ -120,9 +123,15 @@
 	}
 
 	run.checkProgress();
-	const {violation, committedIndex, endedReads, endedWrites, terms} = run.history;
+	const {history} = run;
 	return {
-		violation, committed: committedIndex, reads: endedReads, writes: endedWrites, terms,
+		violation: history.violation,
+		committed: history.committedIndex,
+		reads: history.endedReads,
+		writes: history.endedWrites,
+		terms: history.terms,
+		snapshots: history.snapshotsTaken,
+		memberChanges: history.memberChanges,
 	};
 }
 
@@ -307,10 +316,13 @@
 		}
 	}
 
-	/** One of the first members always keeps its disk: without any there is nothing to compare with. */
+	/**
+	One of the first members always keeps a disk that holds more than what it wrote
+	itself: otherwise nothing is left that a new beginning could contradict.
+	*/
 	#wipe(member: SimulatedMember, seed: number): void {
-		const firstWithDisk = this.#members.filter(other => other.isFirstMember && !this.#wiped.has(other.member));
-		if (firstWithDisk.length <= 1 && firstWithDisk[0] === member) {
+		const witnesses = this.#members.filter(other => other !== member && other.isFirstMember && !this.#wiped.has(other.member));
+		if (!witnesses.some(witness => witness.writtenIndex > 1)) {
 			return;
 		}
 
--- a/packages/consensus/src/test-support/history.ts
+++ b/packages/consensus/src/test-support/history.ts
@@ -27,6 +27,8 @@
 	#endedIndex = 0;
 	#readsEnded = 0;
 	#writesEnded = 0;
+	#snapshotsTaken = 0;
+	#memberChanges = 0;
 
 	get endedReads(): number {
 		return this.#readsEnded;
@@ -40,6 +42,14 @@
 		return this.#leaders.size;
 	}
 
+	get snapshotsTaken(): number {
+		return this.#snapshotsTaken;
+	}
+
+	get memberChanges(): number {
+		return this.#memberChanges;
+	}
+
 	get committedIndex(): number {
 		return this.#committed.length;
 	}
@@ -62,6 +72,10 @@
 
 	noteCommitted(member: MemberId, entry: LogEntry): void {
 		const digest = digestOf(entry);
+		if (entry.payload.kind === 'members' && entry.index > this.#committed.length) {
+			this.#memberChanges++;
+		}
+
 		const present = this.#committed[entry.index - 1] ?? digest;
 		this.#committed[entry.index - 1] = present;
 		if (present !== digest) {
@@ -70,6 +84,7 @@
 	}
 
 	noteSnapshot(member: MemberId, snapshot: Snapshot): void {
+		this.#snapshotsTaken++;
 		if (snapshot.lastIndex > this.#committed.length) {
 			this.report(`committed entries kept: ${member} restores a snapshot at ${snapshot.lastIndex}, but only ${this.#committed.length} entries were committed`);
 		}
--- a/packages/consensus/src/test-support/main.ts
+++ b/packages/consensus/src/test-support/main.ts
@@ -6,7 +6,9 @@
 */
 
 import {parseArgs} from 'node:util';
-import {makeSteps, runSteps, shrinkSteps} from './explore.js';
+import {
+	makeSteps, runSteps, shrinkSteps, type RunOptions,
+} from './explore.js';
 
 const {values} = parseArgs({
 	options: {
@@ -19,25 +21,34 @@
 const members = Number(values.members);
 const from = Number(values.from);
 const startedAt = performance.now();
-let committed = 0;
-let reads = 0;
-let terms = 0;
-for (let seed = from; seed < from + seeds; seed++) {
-	const steps = makeSteps(seed);
-	const result = runSteps(steps, {members, sabotage: 'none'});
-	committed += result.committed;
-	reads += result.reads;
-	terms += result.terms;
-	if (result.violation !== undefined) {
-		const shrunk = shrinkSteps(steps, {members, sabotage: 'none'});
-		console.log(JSON.stringify({
-			seed, members, violation: runSteps(shrunk, {members, sabotage: 'none'}).violation, steps: shrunk,
-		}, undefined, '\t'));
-		process.exitCode = 1;
-		break;
-	}
+const totals = {
+	committed: 0, reads: 0, writes: 0, terms: 0, snapshots: 0, memberChanges: 0,
+};
+let failedSeed: number | undefined;
+for (let seed = from; seed < from + seeds && failedSeed === undefined; seed++) {
+	const result = runSteps(makeSteps(seed), {members, sabotage: 'none'});
+	totals.committed += result.committed;
+	totals.reads += result.reads;
+	totals.writes += result.writes;
+	totals.terms += result.terms;
+	totals.snapshots += result.snapshots;
+	totals.memberChanges += result.memberChanges;
+	failedSeed = result.violation === undefined ? undefined : seed;
+}
+
+if (failedSeed !== undefined) {
+	printFailure(failedSeed);
+	process.exitCode = 1;
 }
 
 console.log(JSON.stringify({
-	seeds, from, members, committed, reads, terms, failed: process.exitCode === 1, seconds: Math.round((performance.now() - startedAt) / 1000),
+	seeds, from, members, ...totals, failedSeed, seconds: Math.round((performance.now() - startedAt) / 1000),
 }));
+
+function printFailure(seed: number): void {
+	const options: RunOptions = {members, sabotage: 'none'};
+	const steps = shrinkSteps(makeSteps(seed), options);
+	console.log(JSON.stringify({
+		seed, members, violation: runSteps(steps, options).violation, steps: steps.map(step => JSON.stringify(step)),
+	}, undefined, '\t'));
+}
--- a/packages/consensus/src/test-support/simulated-member.ts
+++ b/packages/consensus/src/test-support/simulated-member.ts
@@ -59,6 +59,11 @@
 		return this.#initialMembers !== undefined;
 	}
 
+	/** The last entry on the disk. */
+	get writtenIndex(): number {
+		return this.#disk.entries.at(-1)?.index ?? this.#disk.snapshot?.lastIndex ?? 0;
+	}
+
 	start(randomSeed: number, time: number): void {
 		this.#machine = {effects: new Map()};
 		this.#appliedIndex = 0;
