--- a/packages/consensus/src/test-support/explore.ts
+++ b/packages/consensus/src/test-support/explore.ts
@@ -4,37 +4,10 @@
 fails is shrunk to a short one that fails in the same way.
 */
 
-import {SeededRandom, UnreachableError, type MemberId} from '@fireflyglade/model';
-import type {ConsensusMessage, MemberSet} from '../types.js';
-import {History} from './history.js';
-import {SimulatedMember, type Sabotage} from './simulated-member.js';
-
-/** One step of a run; numbers pick among what there is at that moment. */
-export type Step =
-	| RoundStep
-	| {readonly kind: 'propose'; readonly pick: number; readonly command: number}
-	| {readonly kind: 'read'; readonly pick: number; readonly readId: number}
-	| {readonly kind: 'crash'; readonly pick: number; readonly seed: number}
-	| {readonly kind: 'restart'; readonly pick: number; readonly seed: number}
-	| {readonly kind: 'wipe'; readonly pick: number; readonly seed: number}
-	| {readonly kind: 'cut'; readonly from: number; readonly to: number}
-	| {readonly kind: 'isolate'; readonly pick: number}
-	| {readonly kind: 'heal'}
-	| {readonly kind: 'jump'; readonly pick: number; readonly milliseconds: number}
-	| {readonly kind: 'compact'; readonly pick: number}
-	| {readonly kind: 'change-members'; readonly pick: number; readonly what: number}
-	| {readonly kind: 'transfer'; readonly pick: number};
-
-/** Time passes, messages are delivered, and writes end. */
-export type RoundStep = {
-	readonly kind: 'round';
-	readonly milliseconds: number;
-	readonly seed: number;
-	readonly lossPercent: number;
-	readonly delayPercent: number;
-	readonly duplicatePercent: number;
-	readonly slowDiskPercent: number;
-};
+import {UnreachableError, type MemberId} from '@fireflyglade/model';
+import {SimulatedSet} from './simulated-set.js';
+import type {SimulatedMember, Sabotage} from './simulated-member.js';
+import type {Step} from './steps.js';
 
 /** What a run came to. */
 export type RunResult = {
@@ -54,64 +27,6 @@
 	readonly sabotage: Sabotage;
 };
 
-const stepCount = 600;
-const commandCount = 30;
-
-/** Makes the steps of a seed. */
-export function makeSteps(seed: number): readonly Step[] {
-	const random = new SeededRandom(seed);
-	const steps: Step[] = [];
-	const trouble = random.nextInteger(4);
-	const mayWipe = random.nextInteger(4) === 0;
-	for (let number = 0; number < stepCount; number++) {
-		const step = makeStep(random, number, trouble);
-		if (step.kind !== 'wipe' || mayWipe) {
-			steps.push(step);
-		}
-	}
-
-	return steps;
-}
-
-function makeStep(random: SeededRandom, number: number, trouble: number): Step {
-	const pick = random.nextInteger(1000);
-	const seed = random.nextInteger(2 ** 30);
-	const dice = random.nextInteger(100);
-	if (dice < 50) {
-		const isCalm = random.nextInteger(4) >= trouble;
-		return {
-			kind: 'round',
-			milliseconds: random.nextInteger(10) === 0 ? 300 : 30,
-			seed,
-			lossPercent: isCalm ? 0 : 20,
-			delayPercent: isCalm ? 5 : 40,
-			duplicatePercent: isCalm ? 0 : 10,
-			slowDiskPercent: random.nextInteger(3) === 0 ? 60 : 5,
-		};
-	}
-
-	const others: ReadonlyArray<readonly [number, Step]> = [
-		[68, {kind: 'propose', pick, command: seed % commandCount}],
-		[78, {kind: 'read', pick, readId: number}],
-		[80, {kind: 'crash', pick, seed}],
-		[86, {kind: 'restart', pick, seed}],
-		[87, {kind: 'cut', from: pick, to: seed}],
-		[88, {kind: 'isolate', pick}],
-		[92, {kind: 'heal'}],
-		[93, {kind: 'jump', pick, milliseconds: seed % 2000}],
-		[95, {kind: 'compact', pick}],
-		[98, {kind: 'change-members', pick, what: seed}],
-		[99, {kind: 'transfer', pick}],
-	];
-	for (const [limit, step] of others) {
-		if (dice < limit) {
-			return step;
-		}
-	}
-
-	return {kind: 'wipe', pick, seed};
-}
-
 /** Runs steps and gives the first check that failed. */
 export function runSteps(steps: readonly Step[], options: RunOptions): RunResult {
 	const run = new Run(options);
@@ -158,92 +73,81 @@
 }
 
 class Run {
-	readonly history = new History();
-	readonly #options: RunOptions;
-	readonly #members: SimulatedMember[] = [];
-	#messages: ConsensusMessage[] = [];
-	readonly #cuts = new Set<string>();
-	readonly #wiped = new Set<MemberId>();
-	#time = 0;
+	readonly #set: SimulatedSet;
 
 	constructor(options: RunOptions) {
-		this.#options = options;
-		const voters: MemberId[] = [];
-		for (let number = 1; number <= options.members; number++) {
-			voters.push(`m${number}` as MemberId);
-		}
+		this.#set = new SimulatedSet(options);
+	}
 
-		for (const [position, voter] of voters.entries()) {
-			this.#add(voter, {voters, learners: []}, position + 1);
-		}
+	get history(): SimulatedSet['history'] {
+		return this.#set.history;
 	}
 
 	take(step: Step): void {
+		const set = this.#set;
 		switch (step.kind) {
 			case 'round': {
-				this.#round(step);
+				set.round(step);
 				return;
 			}
 
 			case 'propose': {
-				const commandId = `c${step.command}`;
-				this.history.beginWrite(commandId);
-				this.#pick(step.pick).propose(commandId, this.#time);
+				set.propose(set.pick(step.pick), `c${step.command}`);
 				return;
 			}
 
 			case 'read': {
-				this.#pick(step.pick).read(step.readId, this.#time);
+				set.read(set.pick(step.pick), step.readId);
 				return;
 			}
 
 			case 'crash': {
-				this.#pick(step.pick).crash(new SeededRandom(step.seed));
+				set.crash(set.pick(step.pick), step.seed);
 				return;
 			}
 
 			case 'restart': {
-				this.#restart(this.#pick(step.pick), step.seed);
+				set.restart(set.pick(step.pick), step.seed);
 				return;
 			}
 
 			case 'wipe': {
-				this.#wipe(this.#pick(step.pick), step.seed);
+				set.wipe(set.pick(step.pick), step.seed);
 				return;
 			}
 
 			case 'cut': {
-				this.#cuts.add(`${this.#pick(step.from).member} ${this.#pick(step.to).member}`);
+				set.cut(set.pick(step.from), set.pick(step.to));
 				return;
 			}
 
 			case 'isolate': {
-				this.#isolate(this.#pick(step.pick).member);
+				set.isolate(set.pick(step.pick));
 				return;
 			}
 
 			case 'heal': {
-				this.#cuts.clear();
+				set.heal();
 				return;
 			}
 
 			case 'jump': {
-				this.#pick(step.pick).jumpClock(step.milliseconds);
+				set.pick(step.pick).jumpClock(step.milliseconds);
 				return;
 			}
 
 			case 'compact': {
-				this.#pick(step.pick).compact(this.#time);
+				set.compact(set.pick(step.pick));
 				return;
 			}
 
 			case 'change-members': {
-				this.#changeMembers(this.#pick(step.pick), step.what);
+				this.#changeMembers(set.pick(step.pick), step.what);
 				return;
 			}
 
 			case 'transfer': {
-				this.#pick(step.pick).transfer(this.#time);
+				set.transfer(set.pick(step.pick));
 				return;
 			}
 
@@ -255,87 +159,19 @@
 
 	/** Once all faults end, a quorum of members with their disks must commit again. */
 	checkProgress(): void {
-		if (this.history.violation !== undefined) {
+		const set = this.#set;
+		if (this.history.violation !== undefined || set.hasLostDisks) {
 			return;
 		}
 
-		this.#cuts.clear();
-		for (const [position, member] of this.#members.entries()) {
-			this.#restart(member, 1000 + position);
-		}
-
-		const before = this.history.committedIndex;
-		for (let number = 0; number < 400 && this.history.violation === undefined; number++) {
-			this.#calmRound(number);
-			for (const member of this.#members) {
-				member.propose('last', this.#time);
-			}
-
-			if (this.history.committedIndex > before + 1) {
-				return;
-			}
-		}
-
-		if (!this.#mayHaveLostQuorum()) {
-			this.history.report(`progress: nothing is committed after all faults have ended; ${this.#describe()}`);
-		}
-	}
-
-	#describe(): string {
-		return this.#members.map(({member, core}) => `${member} ${JSON.stringify(core?.status())}`).join('; ');
-	}
-
-	#mayHaveLostQuorum(): boolean {
-		return this.#wiped.size > 0;
-	}
-
-	#calmRound(seed: number): void {
-		this.#round({
-			kind: 'round', milliseconds: 25, seed, lossPercent: 0, delayPercent: 0, duplicatePercent: 0, slowDiskPercent: 0,
+		set.heal();
+		set.restartAll();
+		const target = this.history.committedIndex + 2;
+		const isDone = set.runUntil(() => this.history.committedIndex >= target || this.history.violation !== undefined, () => {
+			set.proposeEverywhere('last');
 		});
-	}
-
-	#add(member: MemberId, initialMembers: MemberSet | undefined, seed: number): void {
-		const simulated = new SimulatedMember(member, this.history, {sabotage: this.#options.sabotage, initialMembers});
-		this.#members.push(simulated);
-		simulated.start(seed, this.#time);
-	}
-
-	#pick(number: number): SimulatedMember {
-		const member = this.#members[number % this.#members.length];
-		if (member === undefined) {
-			throw new RangeError('there are no members');
-		}
-
-		return member;
-	}
-
-	#restart(member: SimulatedMember, seed: number): void {
-		if (!member.isUp) {
-			member.start(seed, this.#time);
-		}
-	}
-
-	/**
-	One of the first members always keeps a disk that holds more than what it wrote
-	itself: otherwise nothing is left that a new beginning could contradict.
-	*/
-	#wipe(member: SimulatedMember, seed: number): void {
-		const witnesses = this.#members.filter(other => other !== member && other.isFirstMember && !this.#wiped.has(other.member));
-		if (!witnesses.some(witness => witness.writtenIndex > 1)) {
-			return;
-		}
-
-		this.#wiped.add(member.member);
-		member.crash(new SeededRandom(seed));
-		member.wipe();
-		member.start(seed, this.#time);
-	}
-
-	#isolate(member: MemberId): void {
-		for (const other of this.#members) {
-			this.#cuts.add(`${member} ${other.member}`);
-			this.#cuts.add(`${other.member} ${member}`);
+		if (!isDone) {
+			this.history.report(`progress: nothing is committed after all faults have ended; ${set.describe()}`);
 		}
 	}
 
@@ -348,76 +184,19 @@
 		const {voters, learners} = status.members;
 		const promoted = status.caughtUpLearners[0];
 		if (promoted !== undefined) {
-			member.proposeMembers({voters: [...voters, promoted], learners: learners.filter(learner => learner !== promoted)}, this.#time);
+			this.#set.proposeMembers(member, {voters: [...voters, promoted], learners: learners.filter(learner => learner !== promoted)});
 			return;
 		}
 
 		if (what % 2 === 0 && voters.length > 1) {
 			const removed = voters[what % voters.length];
-			member.proposeMembers({voters: voters.filter(voter => voter !== removed), learners}, this.#time);
+			this.#set.proposeMembers(member, {voters: voters.filter(voter => voter !== removed), learners});
 			return;
 		}
 
-		if (this.#members.length < this.#options.members + 4) {
-			const added = `m${this.#members.length + 1}` as MemberId;
-			this.#add(added, undefined, what);
-			member.proposeMembers({voters, learners: [...learners, added]}, this.#time);
-		}
-	}
-
-	#round(step: RoundStep): void {
-		const random = new SeededRandom(step.seed);
-		this.#time += step.milliseconds;
-		for (const member of this.#members) {
-			member.tick(this.#time);
-			this.#collect(member);
-		}
-
-		this.#deliver(step, random);
-		for (const member of this.#members) {
-			if (random.nextInteger(100) >= step.slowDiskPercent) {
-				member.finishWrite(this.#time);
-			}
-
-			this.#collect(member);
-		}
-
-		this.#deliver(step, random);
-	}
-
-	#collect(member: SimulatedMember): void {
-		this.#messages.push(...member.takeMessages());
-	}
-
-	/** Delivers each message once at most a round, in random order where there are delays. */
-	#deliver(step: RoundStep, random: SeededRandom): void {
-		const messages = this.#messages;
-		this.#messages = [];
-		for (const message of messages) {
-			if (this.#cuts.has(`${message.from} ${message.to}`) || random.nextInteger(100) < step.lossPercent) {
-				continue;
-			}
-
-			if (random.nextInteger(100) < step.delayPercent) {
-				this.#messages.push(message);
-				continue;
-			}
-
-			if (random.nextInteger(100) < step.duplicatePercent) {
-				this.#messages.push(message);
-			}
-
-			this.#receive(message);
-		}
-	}
-
-	#receive(message: ConsensusMessage): void {
-		for (const member of this.#members) {
-			if (member.member === message.to && member.isUp) {
-				member.receive(message, this.#time);
-				this.#collect(member);
-				return;
-			}
+		if (this.#set.mayGrow) {
+			const added: MemberId = this.#set.addJoining(what).member;
+			this.#set.proposeMembers(member, {voters, learners: [...learners, added]});
 		}
 	}
 }
--- a/packages/consensus/src/test-support/main.ts
+++ b/packages/consensus/src/test-support/main.ts
@@ -6,9 +6,8 @@
 */
 
 import {parseArgs} from 'node:util';
-import {
-	makeSteps, runSteps, shrinkSteps, type RunOptions,
-} from './explore.js';
+import {runSteps, shrinkSteps, type RunOptions} from './explore.js';
+import {makeSteps} from './steps.js';
 
 const {values} = parseArgs({
 	options: {
--- a/packages/consensus/src/test-support/simulated-member.ts
+++ b/packages/consensus/src/test-support/simulated-member.ts
@@ -23,9 +23,10 @@
 
 /** One member. */
 export class SimulatedMember {
+	readonly isFirstMember: boolean;
 	readonly #history: History;
 	readonly #sabotage: Sabotage;
-	readonly #initialMembers: MemberSet | undefined;
+	#initialMembers: MemberSet | undefined;
 	#disk: StoredState = emptyState;
 	#core: RaftConsensus | undefined;
 	#writes: PersistAction[] = [];
@@ -41,6 +42,7 @@
 		this.#history = history;
 		this.#sabotage = options.sabotage;
 		this.#initialMembers = options.initialMembers;
+		this.isFirstMember = options.initialMembers !== undefined;
 	}
 
 	get isUp(): boolean {
@@ -55,10 +57,6 @@
 		return this.#appliedIndex;
 	}
 
-	get isFirstMember(): boolean {
-		return this.#initialMembers !== undefined;
-	}
-
 	/** The last entry on the disk. */
 	get writtenIndex(): number {
 		return this.#disk.entries.at(-1)?.index ?? this.#disk.snapshot?.lastIndex ?? 0;
@@ -99,9 +97,10 @@
 		this.#proposals.clear();
 	}
 
-	/** The disk is replaced by an empty one. */
-	wipe(): void {
+	/** The disk is replaced by an empty one; the member is started as one that joins, or as before. */
+	wipe(asJoining: boolean): void {
 		this.#disk = emptyState;
+		this.#initialMembers = asJoining ? undefined : this.#initialMembers;
 	}
 
 	jumpClock(milliseconds: number): void {
--- a/packages/consensus/src/test-support/test.ts
+++ b/packages/consensus/src/test-support/test.ts
@@ -1,8 +1,7 @@
 import {expect} from 'chai';
-import {
-	makeSteps, runSteps, shrinkSteps, type RunOptions,
-} from './explore.js';
+import {runSteps, shrinkSteps, type RunOptions} from './explore.js';
 import type {Sabotage} from './simulated-member.js';
+import {makeSteps} from './steps.js';
 
 /** The seeds of a range that fail, with what they fail by. */
 function explore(from: number, count: number, options: RunOptions): string[] {
