--- /dev/null
+++ b/packages/admission/src/_lib/service-estimate/index.ts
@@ -0,0 +1,60 @@
+/**
+Estimates how long a run takes, by priority.
+
+The estimate follows the runs that ended lately. Without a new run it falls by
+half in each half-life, so that a slow period can't refuse all work for good.
+*/
+
+import {lowestPriority} from '@fireflyglade/model';
+
+const weightOfSample = 0.1;
+const halfLifeMilliseconds = 500;
+/** Time without a run after which the estimate starts to fall. */
+const graceMilliseconds = 500;
+
+type Estimate = {
+	milliseconds: number;
+	deviation: number;
+	sampledAt: number;
+};
+
+/** Estimates of service time in milliseconds, by priority. */
+export class ServiceEstimate {
+	readonly #estimates: Estimate[] = [];
+
+	/** Takes over the duration of a run. */
+	record(priority: number, milliseconds: number, now: number): void {
+		const index = Math.min(lowestPriority, Math.max(0, Math.trunc(priority)));
+		const estimate = this.#estimates[index];
+		if (estimate === undefined) {
+			this.#estimates[index] = {milliseconds, deviation: 0, sampledAt: now};
+			return;
+		}
+
+		const factor = this.#fading(estimate, now);
+		const mean = estimate.milliseconds * factor;
+		const deviation = estimate.deviation * factor;
+		estimate.milliseconds = mean + ((milliseconds - mean) * weightOfSample);
+		estimate.deviation = deviation + ((Math.abs(milliseconds - mean) - deviation) * weightOfSample);
+		estimate.sampledAt = now;
+	}
+
+	/**
+	Expected milliseconds of a run; 0 if nothing is known.
+
+	@param deviations - Mean deviations above the mean, for a safer figure.
+	*/
+	at(priority: number, deviations: number, now: number): number {
+		const estimate = this.#estimates[Math.min(lowestPriority, Math.max(0, Math.trunc(priority)))];
+		if (estimate === undefined) {
+			return 0;
+		}
+
+		return (estimate.milliseconds + (deviations * estimate.deviation)) * this.#fading(estimate, now);
+	}
+
+	#fading(estimate: Estimate, now: number): number {
+		const idle = now - estimate.sampledAt - graceMilliseconds;
+		return idle <= 0 ? 1 : 0.5 ** (idle / halfLifeMilliseconds);
+	}
+}
