Tie configuration, membership and rates to remote calls

Cause: the callers' path asks one interface, Fleet, for configuration, targets, charges and connectivity; nothing answered it.

Change: FleetRuntime keeps the configuration from control's held answers and from peers, carries gossip and rate messages in batches whose answers ride back on the same call, and serves withdrawals and the configuration to peers. A holder renews its lease sooner while the witnesses lag behind its revision, so that a new team is full soon after its creation. A domain that isn't heard gives no holder, and one whose holder gives no answer isn't asked for half a second.

--- a/packages/membership/src/_lib/constants.ts
+++ b/packages/membership/src/_lib/constants.ts
@@ -38,6 +38,8 @@
 export const leaseMilliseconds = 2000;
 /** Milliseconds between two renewals of a lease. */
 export const renewalMilliseconds = 500;
+/** Milliseconds between two renewals while the witnesses lag behind the holder's revision. */
+export const hastyRenewalMilliseconds = 50;
 /** Milliseconds by which a candidate stands later than the one before it in order. */
 export const candidacyStepMilliseconds = 200;
 /** Milliseconds for which a candidate of its own clock may use a lease. */
--- a/packages/membership/src/gossip-membership/index.ts
+++ b/packages/membership/src/gossip-membership/index.ts
@@ -151,7 +151,7 @@
 		}
 
 		const holder = notice === undefined ? undefined : this.#knowledge.table.get(notice.holder);
-		if (notice === undefined || holder === undefined || !isPresent(holder.state) || notice.holder === this.#knowledge.node) {
+		if (notice === undefined || holder === undefined || !isPresent(holder.state) || notice.holder === this.#knowledge.node || !this.#knowledge.evidence.hears(domain, now)) {
 			return undefined;
 		}
 
--- a/packages/membership/src/lease-candidate/index.ts
+++ b/packages/membership/src/lease-candidate/index.ts
@@ -9,7 +9,7 @@
 import {
 	type FencingNumber, initialRevision, type NodeId, type Revision,
 } from '@fireflyglade/model';
-import {renewalMilliseconds, usableLeaseMilliseconds} from '../_lib/constants.js';
+import {hastyRenewalMilliseconds, renewalMilliseconds, usableLeaseMilliseconds} from '../_lib/constants.js';
 import type {LeaseRequest, LeaseVote} from '../_lib/messages.js';
 import type {DomainRole} from '../types.js';
 
@@ -51,13 +51,14 @@
 		return this.#lease !== undefined && now < this.#lease.until ? this.#lease : undefined;
 	}
 
-	/** The request to send to every witness now, if it is time. */
-	nextRequest(witnesses: readonly NodeId[], highestKnown: FencingNumber, now: number): LeaseRequest | undefined {
-		if (now < this.#nextRequestAt) {
+	/** The request to send to every witness now, if it is time; it is sooner while the witnesses lag behind `revision`. */
+	nextRequest(witnesses: readonly NodeId[], highestKnown: FencingNumber, revision: Revision, now: number): LeaseRequest | undefined {
+		const lease = this.lease(now);
+		const isLagging = lease !== undefined && lease.majorityRevision < revision;
+		if (now < this.#nextRequestAt - (isLagging ? renewalMilliseconds - hastyRenewalMilliseconds : 0)) {
 			return undefined;
 		}
 
-		const lease = this.lease(now);
 		const isCurrent = lease !== undefined && lease.fencing >= highestKnown;
 		const fencing = isCurrent ? lease.fencing : (highestKnown + 1) as FencingNumber;
 		this.#roundNumber++;
--- a/packages/membership/src/role-office/index.ts
+++ b/packages/membership/src/role-office/index.ts
@@ -108,7 +108,7 @@
 			return undefined;
 		}
 
-		return this.#candidates.get(role)!.nextRequest(this.#witnesses, this.#witness.highestFencing(role), now);
+		return this.#candidates.get(role)!.nextRequest(this.#witnesses, this.#witness.highestFencing(role), this.#revision, now);
 	}
 
 	#maySeek(role: DomainRole, position: number, now: number): boolean {
--- /dev/null
+++ b/packages/node/src/fleet-runtime-configuration/index.ts
@@ -0,0 +1,89 @@
+/**
+The configuration in force at a node, with the last changes that led to it, so
+that peers can be told differences.
+*/
+
+import {
+	emptyConfiguration, type AcceptedChange, type Configuration, type ConfigurationUpdate, type Revision,
+} from '@fireflyglade/model';
+import {applyConfigurationChange} from '@fireflyglade/state';
+
+/** What became of an update. */
+export type UpdateResult = 'applied' | 'not-newer' | 'gap';
+
+const changesKept = 512;
+
+/** Keeps the newest configuration; an older one never replaces it. */
+export class ConfigurationKeeper {
+	#configuration: Configuration = emptyConfiguration;
+	/** The changes that led to the configuration, without a gap, the newest last. */
+	#changes: AcceptedChange[] = [];
+
+	get configuration(): Configuration {
+		return this.#configuration;
+	}
+
+	/** Applies what is newer in an update; a gap asks for the whole configuration. */
+	apply(update: ConfigurationUpdate): UpdateResult {
+		switch (update.kind) {
+			case 'whole': {
+				return this.#replace(update.configuration);
+			}
+
+			case 'changes': {
+				return this.#applyChanges(update.after, update.changes);
+			}
+		}
+	}
+
+	/** What is newer than a revision: the changes if all of them are kept, else the whole. */
+	updateAfter(after: Revision): ConfigurationUpdate | undefined {
+		const configuration = this.#configuration;
+		if (configuration.revision <= after) {
+			return undefined;
+		}
+
+		const first = this.#changes[0];
+		if (first === undefined || first.revision > after + 1) {
+			return {kind: 'whole', configuration};
+		}
+
+		return {kind: 'changes', after, changes: this.#changes.filter(({revision}) => revision > after)};
+	}
+
+	#replace(configuration: Configuration): UpdateResult {
+		if (configuration.revision <= this.#configuration.revision) {
+			return 'not-newer';
+		}
+
+		this.#configuration = configuration;
+		this.#changes = [];
+		return 'applied';
+	}
+
+	#applyChanges(after: Revision, changes: readonly AcceptedChange[]): UpdateResult {
+		const {revision} = this.#configuration;
+		if (after > revision) {
+			return 'gap';
+		}
+
+		const newer = changes.filter(change => change.revision > revision);
+		if (newer.length === 0) {
+			return 'not-newer';
+		}
+
+		let configuration = this.#configuration;
+		for (const change of newer) {
+			const result = change.revision === configuration.revision + 1 ? applyConfigurationChange(configuration, change.change, change.revision) : undefined;
+			if (result?.kind !== 'changed') {
+				return 'gap';
+			}
+
+			configuration = result.configuration;
+		}
+
+		this.#configuration = configuration;
+		this.#changes = [...this.#changes, ...newer].slice(-changesKept);
+		return 'applied';
+	}
+}
--- /dev/null
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -0,0 +1,493 @@
+/**
+Ties configuration, membership and rates of one node to remote calls, and answers
+what the callers' path asks of the fleet.
+*/
+
+import {
+	GossipMembership, type Connectivity, type MembershipActions, type MembershipEvent, type SelfDescription,
+} from '@fireflyglade/membership';
+import {
+	UnreachableError, type Clock, type Configuration, type ConfigurationUpdate, type FailureDomain, type GateLevel, type KeyId, type NodeId, type RequestId,
+	type Target, type TeamName, type Timer,
+} from '@fireflyglade/model';
+import {
+	TokenRateKeeper, type ChargeOutcome, type HolderView, type RateActions,
+} from '@fireflyglade/rates';
+import type {
+	NodeReport, RpcClient, RpcServer, TeamFigures,
+} from '@fireflyglade/transport';
+import {ConfigurationKeeper} from '../fleet-runtime-configuration/index.js';
+import {
+	deliverMethod, fetchConfigurationMethod, withdrawKeysMethod, type PeerBatch,
+} from '../fleet-runtime-methods/index.js';
+import {PeerOutbox} from '../fleet-runtime-outbox/index.js';
+import {ControlReporter} from '../fleet-runtime-reporter/index.js';
+import type {Fleet} from '../types.js';
+
+/** Options of a fleet runtime. */
+export type FleetRuntimeOptions = {
+	readonly node: NodeId;
+	readonly domain: FailureDomain;
+	/** RPC addresses of control processes. */
+	readonly control: readonly string[];
+	/** RPC addresses of nodes to join by. */
+	readonly seeds: readonly string[];
+	readonly client: RpcClient;
+	readonly clock: Clock;
+	/** Seed of the random choices. */
+	readonly randomSeed: number;
+};
+
+/** Where the node can be reached, known once its listeners are bound. */
+export type FleetAddresses = {
+	/** `host:port` */
+	readonly rpcAddress: string;
+	readonly gateUrl: string;
+	readonly callersUrl: string;
+};
+
+const membershipTickMilliseconds = 100;
+const busyTickMilliseconds = 10;
+const busyMilliseconds = 1000;
+const refreshMilliseconds = 500;
+const fetchTimeoutMilliseconds = 1000;
+const farewellMilliseconds = 300;
+const farewellPollMilliseconds = 5;
+
+/**
+The fleet as one node sees it.
+
+@example
+```ts
+const fleet = new FleetRuntime(options);
+fleet.register(server);
+const rpcAddress = await server.listen('127.0.0.1:0');
+fleet.start({rpcAddress, gateUrl, callersUrl});
+```
+*/
+export class FleetRuntime implements Fleet {
+	readonly #options: FleetRuntimeOptions;
+	readonly #keeper = new ConfigurationKeeper();
+	readonly #rates: TokenRateKeeper;
+	readonly #pendingCharges = new Map<RequestId, (outcome: ChargeOutcome) => void>();
+	readonly #listeners = new Set<() => void>();
+	readonly #addressByNode = new Map<NodeId, string>();
+	#running: {readonly membership: GossipMembership; readonly outbox: PeerOutbox; readonly reporter: ControlReporter} | undefined;
+	#self: SelfDescription | undefined;
+	#callersUrl = '';
+	#target: Target | undefined;
+	#targets: readonly Target[] = [];
+	#connectivity: Connectivity;
+	#levelSource: (() => GateLevel | undefined) | undefined;
+	#figuresSource: (() => readonly TeamFigures[]) | undefined;
+	#timer: Timer | undefined;
+	#isTargetsDue = false;
+	#nextMembershipTickAt = 0;
+	#nextRefreshAt = 0;
+	#lastChargeAt = Number.NEGATIVE_INFINITY;
+	#isFetching = false;
+
+	constructor(options: FleetRuntimeOptions) {
+		const {node, domain, clock} = options;
+		this.#options = options;
+		this.#rates = new TokenRateKeeper({node, domain, run: Math.floor(clock.wallNow())});
+		this.#connectivity = {kind: 'control-outage', since: clock.now()};
+	}
+
+	/** Registers the handlers of calls between nodes; before the server listens. */
+	register(server: RpcServer): void {
+		server.handle(deliverMethod, async batch => this.#answerBatch(batch));
+		server.handle(fetchConfigurationMethod, async ({after}) => {
+			const update = this.#keeper.updateAfter(after);
+			return update === undefined ? {} : {update};
+		});
+		server.handle(withdrawKeysMethod, async ({keys}) => {
+			this.withdrawKeys(keys);
+			return {};
+		});
+	}
+
+	/** Joins the fleet. */
+	start({rpcAddress, gateUrl, callersUrl}: FleetAddresses): void {
+		const {node, domain, client, clock, control, seeds, randomSeed} = this.#options;
+		const self: SelfDescription = {
+			node, domain, rpcAddress, gateUrl, leaving: false, revision: this.configuration().revision, ...(this.#target !== undefined && {target: this.#target}),
+		};
+		this.#self = self;
+		this.#callersUrl = callersUrl;
+		const membership = new GossipMembership({
+			self, seeds, randomSeed, incarnation: Math.floor(clock.wallNow()), now: clock.now(),
+		});
+		const outbox = new PeerOutbox({
+			client, sender: {node, rpcAddress}, receive: batch => {
+				this.#receive(batch);
+			},
+		});
+		const reporter = new ControlReporter({
+			client, clock, control,
+			describe: () => this.#describeReport(),
+			takeUpdate: update => {
+				this.#takeUpdate(update);
+			},
+			observeQuorum() {
+				membership.observeQuorum(clock.now());
+			},
+		}, randomSeed);
+		this.#running = {membership, outbox, reporter};
+		reporter.start();
+		this.#tick();
+	}
+
+	/** Tells peers that the node leaves, gives unused tokens back, and stops. */
+	async close(): Promise<void> {
+		const {clock} = this.#options;
+		const running = this.#running;
+		this.#timer?.cancel();
+		running?.reporter.close();
+		if (running === undefined) {
+			return;
+		}
+
+		this.#takeRates(this.#rates.shutDown(clock.now()));
+		this.#takeMembership(running.membership.leave(clock.now()));
+		this.#running = undefined;
+		const end = clock.now() + farewellMilliseconds;
+		while (running.outbox.underWay > 0 && clock.now() < end) {
+			await new Promise<void>(resolve => {
+				clock.startTimer(farewellPollMilliseconds, resolve);
+			});
+		}
+	}
+
+	configuration(): Configuration {
+		return this.#keeper.configuration;
+	}
+
+	isKeyWithdrawn(id: KeyId): boolean {
+		return this.#running?.membership.withdrawnKeys().has(id) ?? false;
+	}
+
+	/** Withdraws keys here and, by gossip, everywhere that can be reached. */
+	withdrawKeys(keys: readonly KeyId[]): void {
+		if (this.#running !== undefined) {
+			this.#takeMembership(this.#running.membership.withdrawKeys(keys, this.#options.clock.now()));
+		}
+	}
+
+	/** The known holders of the domains' parts of the teams' rates. */
+	holders(): ReadonlyMap<FailureDomain, HolderView> {
+		const now = this.#options.clock.now();
+		const holders = new Map<FailureDomain, HolderView>();
+		for (const domain of this.configuration().domains.keys()) {
+			const lease = this.#running?.membership.lease('holder', domain, now);
+			if (lease !== undefined) {
+				holders.set(domain, {holder: lease.holder, fencing: lease.fencing, revision: lease.revision});
+			}
+		}
+
+		return holders;
+	}
+
+	connectivity(): Connectivity {
+		return this.#connectivity;
+	}
+
+	targets(): readonly Target[] {
+		return this.#targets;
+	}
+
+	async charge(team: TeamName, requestId: RequestId): Promise<ChargeOutcome> {
+		const now = this.#options.clock.now();
+		this.#noteCharge(now);
+		const outcome = new Promise<ChargeOutcome>(resolve => {
+			this.#pendingCharges.set(requestId, resolve);
+		});
+		this.#takeRates(this.#rates.charge(team, requestId, now));
+		return outcome;
+	}
+
+	refund(requestId: RequestId): void {
+		this.#takeRates(this.#rates.refund(requestId, this.#options.clock.now()));
+	}
+
+	settle(requestId: RequestId): void {
+		this.#rates.settle(requestId);
+	}
+
+	onChange(listener: () => void): () => void {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
+	}
+
+	announceTarget(target: Target | undefined): void {
+		this.#target = target;
+		this.#describeSelf();
+	}
+
+	setLevelSource(source: () => GateLevel | undefined): void {
+		this.#levelSource = source;
+	}
+
+	setFiguresSource(source: () => readonly TeamFigures[]): void {
+		this.#figuresSource = source;
+	}
+
+	#notifyListeners(): void {
+		for (const listener of this.#listeners) {
+			listener();
+		}
+	}
+
+	#describeReport(): Omit<NodeReport, 'waitMilliseconds'> {
+		const {node, domain} = this.#options;
+		const level = this.#levelSource?.();
+		return {
+			node,
+			domain,
+			revision: this.configuration().revision,
+			rpcAddress: this.#self?.rpcAddress ?? '',
+			callersUrl: this.#callersUrl,
+			...(this.#target !== undefined && {target: this.#target}),
+			...(level !== undefined && {level}),
+			teams: this.#figuresSource?.() ?? [],
+			relayed: [],
+		};
+	}
+
+	#describeSelf(): void {
+		if (this.#running === undefined || this.#self === undefined) {
+			return;
+		}
+
+		const {level: _level, target: _target, ...rest} = this.#self;
+		const level = this.#levelSource?.();
+		this.#self = {...rest, ...(this.#target !== undefined && {target: this.#target}), ...(level !== undefined && {level})};
+		this.#takeMembership(this.#running.membership.describeSelf(this.#self, this.#options.clock.now()));
+	}
+
+	/** Ticks often while requests are charged, and seldom otherwise. */
+	#noteCharge(now: number): void {
+		const isIdle = now - this.#lastChargeAt > busyMilliseconds;
+		this.#lastChargeAt = now;
+		if (isIdle && this.#running !== undefined) {
+			this.#timer?.cancel();
+			this.#tickLater(now);
+		}
+	}
+
+	#tickLater(now: number): void {
+		const isBusy = now - this.#lastChargeAt <= busyMilliseconds;
+		this.#timer = this.#options.clock.startTimer(isBusy ? busyTickMilliseconds : membershipTickMilliseconds, () => {
+			this.#tick();
+		});
+	}
+
+	#tick(): void {
+		const now = this.#options.clock.now();
+		const running = this.#running;
+		if (running === undefined) {
+			return;
+		}
+
+		this.#takeRates(this.#rates.tick(now));
+		if (now >= this.#nextMembershipTickAt) {
+			this.#nextMembershipTickAt = now + membershipTickMilliseconds;
+			this.#takeMembership(running.membership.tick(now));
+			this.#connectivity = running.membership.connectivity(now);
+		}
+
+		if (now >= this.#nextRefreshAt) {
+			this.#nextRefreshAt = now + refreshMilliseconds;
+			this.#describeSelf();
+			this.#takeHolders();
+			this.#takeTargets();
+		}
+
+		this.#tickLater(now);
+	}
+
+	async #answerBatch(batch: PeerBatch): Promise<PeerBatch> {
+		const running = this.#running;
+		if (running === undefined) {
+			return {
+				from: this.#options.node, fromAddress: '', membership: [], rates: [],
+			};
+		}
+
+		return running.outbox.capture(batch.fromAddress, () => {
+			this.#receive(batch);
+		});
+	}
+
+	#receive(batch: PeerBatch): void {
+		const {clock} = this.#options;
+		const running = this.#running;
+		if (running === undefined) {
+			return;
+		}
+
+		this.#addressByNode.set(batch.from, batch.fromAddress);
+		for (const message of batch.membership) {
+			this.#takeMembership(running.membership.receive(message, clock.now()));
+		}
+
+		for (const message of batch.rates) {
+			this.#takeRates(this.#rates.receive(message, clock.now()));
+		}
+	}
+
+	#takeRates({decisions, messages}: RateActions): void {
+		for (const {requestId, outcome} of decisions) {
+			const resolve = this.#pendingCharges.get(requestId);
+			this.#pendingCharges.delete(requestId);
+			resolve?.(outcome);
+		}
+
+		for (const message of messages) {
+			const address = this.#addressByNode.get(message.to);
+			if (address !== undefined) {
+				this.#running?.outbox.sendRate(address, message);
+			}
+		}
+	}
+
+	#takeMembership({messages, events}: MembershipActions): void {
+		for (const message of messages) {
+			this.#running?.outbox.sendMembership(message);
+		}
+
+		const kinds = new Set<MembershipEvent['kind']>();
+		for (const event of events) {
+			if (!kinds.has(event.kind) || event.kind === 'newer-revision') {
+				kinds.add(event.kind);
+				this.#takeEvent(event);
+			}
+		}
+	}
+
+	#takeEvent(event: MembershipEvent): void {
+		switch (event.kind) {
+			case 'members-changed':
+			case 'targets-changed': {
+				this.#takeTargetsSoon();
+				return;
+			}
+
+			case 'keys-withdrawn': {
+				this.#notifyListeners();
+				return;
+			}
+
+			case 'holders-changed': {
+				this.#takeHolders();
+				return;
+			}
+
+			case 'own-lease-changed': {
+				this.#takeOwnLease();
+				return;
+			}
+
+			case 'newer-revision': {
+				void this.#fetch(event.rpcAddress);
+				return;
+			}
+
+			default: {
+				throw new UnreachableError(event);
+			}
+		}
+	}
+
+	/** A burst of news leads to one look at the members. */
+	#takeTargetsSoon(): void {
+		if (this.#isTargetsDue) {
+			return;
+		}
+
+		this.#isTargetsDue = true;
+		setImmediate(() => {
+			this.#isTargetsDue = false;
+			this.#takeTargets();
+		});
+	}
+
+	#takeTargets(): void {
+		const membership = this.#running?.membership;
+		if (membership === undefined) {
+			return;
+		}
+
+		for (const {description} of membership.members()) {
+			this.#addressByNode.set(description.node, description.rpcAddress);
+		}
+
+		const targets = membership.targets();
+		if (isSameTargets(this.#targets, targets)) {
+			return;
+		}
+
+		this.#targets = targets;
+		this.#notifyListeners();
+	}
+
+	#takeHolders(): void {
+		this.#takeRates(this.#rates.setHolders(this.holders(), this.#options.clock.now()));
+	}
+
+	#takeOwnLease(): void {
+		const {clock, domain} = this.#options;
+		const now = clock.now();
+		const lease = this.#running?.membership.lease('holder', domain, now);
+		const own = lease?.revisionAtStart === undefined
+			? undefined
+			: {
+				fencing: lease.fencing, until: lease.until, revisionAtStart: lease.revisionAtStart, majorityRevision: lease.revision,
+			};
+		this.#takeRates(this.#rates.setOwnLease(own, now));
+		this.#takeHolders();
+	}
+
+	#takeUpdate(update: ConfigurationUpdate): boolean {
+		const {clock} = this.#options;
+		if (this.#keeper.apply(update) !== 'applied') {
+			return false;
+		}
+
+		const configuration = this.configuration();
+		this.#takeRates(this.#rates.setConfiguration(configuration, clock.now()));
+		if (this.#running !== undefined) {
+			this.#takeMembership(this.#running.membership.setConfiguration(configuration, clock.now()));
+			this.#takeHolders();
+			this.#running.reporter.reportRevision();
+		}
+
+		this.#notifyListeners();
+		return true;
+	}
+
+	/** Fetches the configuration from a peer that has a newer one; the whole of it on a gap. */
+	async #fetch(address: string): Promise<void> {
+		if (this.#isFetching) {
+			return;
+		}
+
+		this.#isFetching = true;
+		try {
+			const {update} = await this.#options.client.call(fetchConfigurationMethod, address, {after: this.configuration().revision}, {timeoutMilliseconds: fetchTimeoutMilliseconds});
+			if (update !== undefined) {
+				this.#takeUpdate(update);
+			}
+		} catch {
+			// Another peer, or control, tells of the revision again.
+		} finally {
+			this.#isFetching = false;
+		}
+	}
+}
+
+function isSameTargets(before: readonly Target[], after: readonly Target[]): boolean {
+	return JSON.stringify(before) === JSON.stringify(after);
+}
--- /dev/null
+++ b/packages/node/src/fleet-runtime/test.ts
@@ -0,0 +1,188 @@
+import {expect} from 'chai';
+import {
+	createFailureDomain, createNodeId, createTeamName, emptyConfiguration, SystemClock,
+	type AcceptedChange, type Configuration, type ConfigurationChange, type FailureDomain, type KeyId, type RequestId, type Revision,
+} from '@fireflyglade/model';
+import {applyConfigurationChange} from '@fireflyglade/state';
+import {
+	GrpcRpcClient, GrpcRpcServer, reportMethod, type NodeReport,
+} from '@fireflyglade/transport';
+import {FleetRuntime} from './index.js';
+
+const credentials = {kind: 'token', token: 'fleet-runtime-test'} as const;
+const clock = new SystemClock();
+const team = {name: createTeamName('council'), ratePerSecond: 2, burst: 5};
+
+async function until(condition: () => boolean, limit = 12_000): Promise<number> {
+	const start = clock.now();
+	while (!condition()) {
+		if (clock.now() - start > limit) {
+			throw new Error('the condition did not come to hold');
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+
+	return clock.now() - start;
+}
+
+/** A control process that accepts changes and answers reports at once. */
+class FakeControl {
+	readonly reports: NodeReport[] = [];
+	isSilent = false;
+	readonly #server = new GrpcRpcServer(credentials);
+	#configuration: Configuration = emptyConfiguration;
+	readonly #changes: AcceptedChange[] = [];
+
+	async start(): Promise<string> {
+		this.#server.handle(reportMethod, async report => {
+			this.reports.push(report);
+			await new Promise(resolve => {
+				setTimeout(resolve, 20);
+			});
+			const changes = this.#changes.filter(({revision}) => revision > report.revision);
+			return changes.length === 0 || this.isSilent
+				? {quorum: !this.isSilent}
+				: {quorum: true, update: {kind: 'changes' as const, after: report.revision, changes}};
+		});
+		return this.#server.listen('127.0.0.1:0');
+	}
+
+	accept(change: ConfigurationChange): Revision {
+		const revision = this.#configuration.revision + 1 as Revision;
+		const result = applyConfigurationChange(this.#configuration, change, revision);
+		if (result.kind !== 'changed') {
+			throw new Error(JSON.stringify(result));
+		}
+
+		this.#configuration = result.configuration;
+		this.#changes.push({
+			revision, change, acceptedAt: 0, operator: 'test',
+		});
+		return revision;
+	}
+
+	async close(): Promise<void> {
+		await this.#server.close();
+	}
+}
+
+type RunningNode = {
+	readonly fleet: FleetRuntime;
+	readonly rpcAddress: string;
+	close(): Promise<void>;
+};
+
+async function startNode(name: string, domain: FailureDomain, control: readonly string[], seeds: readonly string[]): Promise<RunningNode> {
+	const server = new GrpcRpcServer(credentials);
+	const client = new GrpcRpcClient(credentials);
+	const fleet = new FleetRuntime({
+		node: createNodeId(name), domain, control, seeds, client, clock, randomSeed: name.length + name.codePointAt(name.length - 1)!,
+	});
+	fleet.register(server);
+	const rpcAddress = await server.listen('127.0.0.1:0');
+	fleet.start({rpcAddress, gateUrl: 'http://127.0.0.1:1', callersUrl: 'http://127.0.0.1:2'});
+	return {
+		fleet, rpcAddress, async close() {
+			await fleet.close();
+			client.close();
+			await server.close();
+		},
+	};
+}
+
+describe('FleetRuntime', function () {
+	this.timeout(40_000);
+	const north = createFailureDomain('north');
+	const south = createFailureDomain('south');
+	const control = new FakeControl();
+	const nodes: RunningNode[] = [];
+	let controlAddress: string;
+
+	before(async () => {
+		controlAddress = await control.start();
+		for (const [index, domain] of [north, north, south].entries()) {
+			// The last node knows no control process: it learns from its peers.
+			nodes.push(await startNode(`node-${index}`, domain, index < 2 ? [controlAddress] : [], nodes.slice(0, 1).map(({rpcAddress}) => rpcAddress)));
+		}
+
+		control.accept({kind: 'set-domain', domain: {name: north, weight: 1, witnesses: [createNodeId('node-0')]}});
+		control.accept({kind: 'set-domain', domain: {name: south, weight: 1, witnesses: [createNodeId('node-2')]}});
+	});
+
+	after(async () => {
+		for (const node of nodes) {
+			await node.close();
+		}
+
+		await control.close();
+	});
+
+	it('brings a change to every node, from control or from peers, well under 2 s', async () => {
+		await until(() => nodes.every(({fleet}) => fleet.configuration().revision === 2));
+		const revision = control.accept({kind: 'create-team', team});
+		expect(await until(() => nodes.every(({fleet}) => fleet.configuration().revision === revision))).to.be.below(2000);
+		await until(() => control.reports.some(report => report.revision === revision));
+	});
+
+	it('lets the whole burst of a new team be used at one node, and no more', async () => {
+		const parish = {name: createTeamName('parish'), ratePerSecond: 0.001, burst: 5};
+		const {fleet} = nodes[1]!;
+		let admitted = 0;
+		let isCharging = false;
+		const charge = async (): Promise<void> => {
+			isCharging = true;
+			const outcome = await fleet.charge(parish.name, `parish-${clock.now()}` as RequestId);
+			admitted += outcome.kind === 'admitted' ? 1 : 0;
+			isCharging = false;
+		};
+
+		await until(() => nodes.every(({fleet: one}) => one.holders().size === 2));
+		control.accept({kind: 'create-team', team: parish});
+		await until(() => {
+			if (!isCharging && admitted < 5) {
+				void charge();
+			}
+
+			return admitted === 5;
+		});
+		for (let index = 0; index < 3; index++) {
+			const outcome = await fleet.charge(parish.name, `late-${index}` as RequestId);
+			expect(outcome.kind).to.equal('refused');
+		}
+	});
+
+	it('spreads a withdrawn key from any node', async () => {
+		const key = 'k-7' as KeyId;
+		nodes[2]!.fleet.withdrawKeys([key]);
+		expect(await until(() => nodes.every(({fleet}) => fleet.isKeyWithdrawn(key)))).to.be.below(2000);
+	});
+
+	it('tells all nodes of a target and of its leaving', async () => {
+		const target = {
+			upstream: 'orders.node-0', service: 'orders', node: 'node-0', domain: north, gateUrl: 'http://127.0.0.1:1', rpcAddress: nodes[0]!.rpcAddress, available: true, slots: 4,
+		} as unknown as Parameters<FleetRuntime['announceTarget']>[0];
+		nodes[0]!.fleet.announceTarget(target);
+		await until(() => nodes.every(({fleet}) => fleet.targets().length === 1));
+		nodes[0]!.fleet.announceTarget(undefined);
+		await until(() => nodes.every(({fleet}) => fleet.targets().length === 0));
+	});
+
+	it('serves on as in a control outage when no quorum is heard', async () => {
+		await until(() => nodes.every(({fleet}) => fleet.connectivity().kind === 'connected'));
+		control.isSilent = true;
+		await until(() => nodes.every(({fleet}) => fleet.connectivity().kind === 'control-outage'), 15_000);
+		control.isSilent = false;
+		await until(() => nodes.every(({fleet}) => fleet.connectivity().kind === 'connected'), 15_000);
+	});
+
+	it('teaches a node that restarts without control what its peers know', async () => {
+		const {revision} = nodes[0]!.fleet.configuration();
+		const late = await startNode('node-3', south, [], [nodes[2]!.rpcAddress]);
+		nodes.push(late);
+		await until(() => late.fleet.configuration().revision === revision);
+		expect(late.fleet.configuration()).to.deep.equal(nodes[0]!.fleet.configuration());
+	});
+});
--- a/packages/rates/src/_lib/constants.ts
+++ b/packages/rates/src/_lib/constants.ts
@@ -44,3 +44,6 @@
 export function heldMilliseconds(milliseconds: number): number {
 	return milliseconds * (1 + (2 * maximumClockDrift));
 }
+
+/** Milliseconds for which a domain whose holder gave no answer isn't asked. */
+export const silenceMilliseconds = 500;
--- a/packages/rates/src/team-account/index.ts
+++ b/packages/rates/src/team-account/index.ts
@@ -45,6 +45,8 @@
 	readonly run: number;
 	readonly book: EntitlementBook;
 	holders(): ReadonlyMap<FailureDomain, HolderView>;
+	/** The domain's holder gave no answer in time. */
+	noteSilence(domain: FailureDomain, at: number): void;
 	nextLoan(): number;
 	decide(account: TeamAccount, decision: AccountDecision): void;
 	send(holder: NodeId, ask: Ask): void;
@@ -115,6 +117,7 @@
 		const current = this.#current;
 		if (current !== undefined && now - current.sentAt >= askTimeoutMilliseconds) {
 			this.#tried.add(current.domain);
+			this.#context.noteSilence(current.domain, now);
 			this.#current = undefined;
 		}
 
--- a/packages/rates/src/token-rate-keeper/index.ts
+++ b/packages/rates/src/token-rate-keeper/index.ts
@@ -7,6 +7,7 @@
 import {
 	type Configuration, type FailureDomain, type NodeId, type RequestId, type TeamName, UnreachableError,
 } from '@fireflyglade/model';
+import {silenceMilliseconds} from '../_lib/constants.js';
 import type {RatePayload} from '../_lib/messages.js';
 import {EntitlementBook} from '../entitlement-book/index.js';
 import {Lender} from '../lender/index.js';
@@ -31,6 +32,7 @@
 	readonly #charged = new Map<RequestId, Charged>();
 	readonly #domain: FailureDomain;
 	#holders: ReadonlyMap<FailureDomain, HolderView> = new Map();
+	readonly #silentUntil = new Map<FailureDomain, number>();
 	#loanNumber = 0;
 	#decisions: ChargeDecision[] = [];
 	readonly #outgoing: RateMessage[] = [];
@@ -71,6 +73,12 @@
 	}
 
 	tick(now: number): RateActions {
+		for (const [domain, until] of this.#silentUntil) {
+			if (until <= now) {
+				this.#silentUntil.delete(domain);
+			}
+		}
+
 		if (this.#book.confirm(this.#holders, now)) {
 			this.#lender.applyBook([], now);
 		}
@@ -135,12 +143,24 @@
 		return account;
 	}
 
+	/** Holders, without those of domains that gave no answer lately. */
+	#reachableHolders(): ReadonlyMap<FailureDomain, HolderView> {
+		if (this.#silentUntil.size === 0) {
+			return this.#holders;
+		}
+
+		return new Map([...this.#holders].filter(([domain]) => !this.#silentUntil.has(domain)));
+	}
+
 	#createContext(): AccountContext {
 		return {
 			domain: this.#domain,
 			run: this.#run,
 			book: this.#book,
-			holders: () => this.#holders,
+			holders: () => this.#reachableHolders(),
+			noteSilence: (domain, at) => {
+				this.#silentUntil.set(domain, at + silenceMilliseconds);
+			},
 			nextLoan: () => {
 				this.#loanNumber++;
 				return this.#loanNumber;
