--- a/packages/admission/src/gate-admission/index.ts
+++ b/packages/admission/src/gate-admission/index.ts
@@ -13,7 +13,7 @@
 } from '@fireflyglade/model';
 import {AdaptiveLimit} from '../adaptive-limit/index.js';
 import {ServiceEstimate} from '../_lib/service-estimate/index.js';
-import {bandOf, WaitingRoom} from '../_lib/waiting-room/index.js';
+import {WaitingRoom} from '../_lib/waiting-room/index.js';
 import type {
 	Admission, AdmissionDecision, AdmissionOptions, AdmissionRequest, ConcurrencyLimit, QueueOrder, RefusalReason, RunOutcome,
 } from '../types.js';
@@ -21,8 +21,10 @@
 /** Waiting requests that a gate keeps for each request that it may run. */
 const waitingPerRunning = 3;
 const minimumCapacity = 16;
-/** Time for which the queue must stand before the newest goes first. */
+/** Time for which something must wait without a break until the queue counts as standing. */
 const standingMilliseconds = 100;
+/** Mean deviations of the service time that a request must have left while the queue stands. */
+const standingDeviations = 2;
 /** Time for which a shed priority is told to others. */
 const shedNoticeMilliseconds = 200;
 const minimumRetryAfterMilliseconds = 50;
@@ -48,7 +50,7 @@
 	#shedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: AdmissionOptions) {
-		this.#limit = options.limit ?? new AdaptiveLimit(options.slots);
+		this.#limit = options.limit ?? new AdaptiveLimit(options);
 		this.#order = options.order ?? 'earliest-deadline';
 		this.#emptyAt = options.now;
 	}
@@ -134,22 +136,30 @@
 			this.#emptyAt = now;
 		}
 
-		this.#room.add(request, this.#weightOf(request.team), now);
+		this.#room.add(request, this.#weightOf(request.team));
 		const decisions = this.#startWaiting(now);
-		if (this.#room.size <= this.#capacity(now)) {
-			return this.#room.has(request.requestId) ? [...decisions, {kind: 'wait', requestId: request.requestId}] : decisions;
+		const shed = this.#room.size > this.#capacity(now) ? this.#shedOne(now) : undefined;
+		if (this.#room.has(request.requestId)) {
+			decisions.push({kind: 'wait', requestId: request.requestId});
 		}
 
-		const shed = this.#room.firstToShed()!;
-		this.#room.remove(shed.request.requestId);
-		this.#noteShed(shed.request, now);
-		const refusal = this.#refuse(shed.request.requestId, shed.request === request ? 'queue-full' : 'shed', now);
-		return shed.request === request ? [refusal] : [{kind: 'wait', requestId: request.requestId}, refusal];
+		if (shed !== undefined) {
+			decisions.push(this.#refuse(shed.requestId, shed === request ? 'queue-full' : 'shed', now));
+		}
+
+		return decisions;
+	}
+
+	#shedOne(now: number): AdmissionRequest {
+		const {request} = this.#room.firstToShed()!;
+		this.#room.remove(request.requestId);
+		this.#noteShed(request, now);
+		return request;
 	}
 
 	#startWaiting(now: number): AdmissionDecision[] {
 		const decisions: AdmissionDecision[] = [];
-		const newestFirst = this.#order === 'newest-when-standing' && now - this.#emptyAt > standingMilliseconds;
+		const newestFirst = this.#order === 'newest-when-standing' && this.#isStanding(now);
 		while (this.#room.size > 0 && this.#running.size < this.#limit.current(now)) {
 			const {request} = this.#room.takeNext(newestFirst)!;
 			decisions.push(this.#isHopeless(request, now) ? this.#refuse(request.requestId, 'deadline', now) : this.#run(request, now));
@@ -176,14 +186,20 @@
 
 	#noteShed(request: AdmissionRequest, now: number): void {
 		const worst = this.#room.worstPriority;
-		if (worst !== undefined && worst < request.priority && bandOf(request) % 2 === 1) {
+		if (worst !== undefined && worst < request.priority) {
 			this.#shedPriority = worst + 1;
 			this.#shedAt = now;
 		}
 	}
 
+	/** True if the request can't be expected to end in time; a standing queue asks for more, as others could use the slot. */
 	#isHopeless(request: AdmissionRequest, now: number): boolean {
-		return now + this.#estimate.at(request.priority, now) >= request.deadline;
+		const deviations = this.#isStanding(now) ? standingDeviations : 0;
+		return now + this.#estimate.at(request.priority, deviations, now) >= request.deadline;
+	}
+
+	#isStanding(now: number): boolean {
+		return this.#room.size > 0 && now - this.#emptyAt > standingMilliseconds;
 	}
 
 	#capacity(now: number): number {
@@ -192,7 +208,7 @@
 
 	#retryAfter(now: number): number {
 		const rounds = this.#room.size / this.#limit.current(now);
-		const expected = rounds * this.#estimate.at(lowestPriority, now);
+		const expected = rounds * this.#estimate.at(lowestPriority, 0, now);
 		return Math.round(Math.min(maximumRetryAfterMilliseconds, Math.max(minimumRetryAfterMilliseconds, expected)));
 	}
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,6 +8,7 @@
 export * from './http-listener/index.js';
 export * from './http-sender/index.js';
 export type * from './http-types/index.js';
+export * from './load-fleet-credentials/index.js';
 export * from './message-codec/index.js';
 export * from './rpc-client/index.js';
 export * from './rpc-error/index.js';
