Serve a request end to end, as one process and as daemons

Cause: the libraries stood beside each other; nobody could run them. Conclusion: the whole path runs; it is to be measured and broken next.

--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -2,4 +2,4 @@
 The embedded default: one process with control, nodes and stand-ins.
 */
 
-export {};
+export * from './start-demo/index.js';
--- /dev/null
+++ b/packages/demo/src/show-live-table/index.ts
@@ -0,0 +1,54 @@
+/**
+Shows goodput and refusals by team on a terminal, once a second.
+*/
+
+import {randomUUID} from 'node:crypto';
+import {printRows} from '@fireflyglade/language';
+import {FireflygladeError} from '@fireflyglade/model';
+import {sendStatement, type OperatorAccess} from '../operator-statements/index.js';
+
+const refreshIntervalMilliseconds = 1000;
+const statement = 'show teams order by team';
+const clearBelow = '\u001B[0J';
+
+function moveUp(lines: number): string {
+	return lines === 0 ? '' : `\u001B[${lines}A`;
+}
+
+/**
+Shows the table until the returned function is called.
+
+@param write - Writes text to the terminal.
+*/
+export function showLiveTable(access: OperatorAccess, write: (text: string) => void): () => void {
+	let shownLines = 0;
+	let isBusy = false;
+	const refresh = async (): Promise<void> => {
+		if (isBusy) {
+			return;
+		}
+
+		isBusy = true;
+		try {
+			const answer = await sendStatement(access, statement, randomUUID());
+			if (answer.kind === 'rows') {
+				const text = printRows(answer.columns, answer.rows);
+				write(`${moveUp(shownLines)}\r${clearBelow}${text}\n`);
+				shownLines = text.split('\n').length;
+			}
+		} catch (error: unknown) {
+			if (!(error instanceof FireflygladeError)) {
+				throw error;
+			}
+		} finally {
+			isBusy = false;
+		}
+	};
+
+	const timer = setInterval(() => {
+		void refresh();
+	}, refreshIntervalMilliseconds);
+	return () => {
+		clearInterval(timer);
+	};
+}
--- /dev/null
+++ b/packages/demo/src/start-demo/index.ts
@@ -0,0 +1,241 @@
+/**
+The embedded default: one process on loopback with one control process, three
+nodes in two failure domains and a stand-in upstream beside each node, of two
+services of which one calls the other; two teams with keys.
+*/
+
+import {randomBytes} from 'node:crypto';
+import {mkdir, readFile, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import {ControlProcess, type StorageFailedError} from '@fireflyglade/control';
+import {
+	createFailureDomain, createMemberId, createNodeId, type NodeId,
+} from '@fireflyglade/model';
+import {NodeProcess} from '@fireflyglade/node';
+import {StandInUpstream} from '@fireflyglade/scenario';
+import type {NodeSettings} from '@fireflyglade/settings';
+import {sendStatement, StatementRefusedError, type OperatorAccess} from '../operator-statements/index.js';
+
+/** Options of the demo. */
+export type DemoOptions = {
+	readonly dataFolder: string;
+	/** Port of the first node's callers' listener, those of the others follow it; 0 takes any free ports. */
+	readonly callersPort: number;
+	/** Port of the operators' listener; 0 takes any free port. */
+	readonly operatorPort: number;
+	readonly onStorageFailure: (error: StorageFailedError) => void;
+};
+
+/** A route of the demo, as the ready file lists it. */
+export type DemoRoute = {
+	readonly method: string;
+	readonly path: string;
+	readonly service: string;
+	readonly open: boolean;
+	readonly idempotent: boolean;
+};
+
+/** What serves once the demo has started. */
+export type RunningDemo = {
+	/** Base URL of every node, for callers. */
+	readonly callers: readonly string[];
+	/** Base URL for operators. */
+	readonly operator: string;
+	readonly operatorTokenFile: string;
+	/** A key for each team. */
+	readonly keys: Readonly<Record<string, string>>;
+	readonly routes: readonly DemoRoute[];
+	/** URLs of the stand-in upstreams. */
+	readonly upstreams: readonly string[];
+	readonly access: OperatorAccess;
+	/** Shuts everything down gracefully. */
+	readonly stop: () => Promise<void>;
+};
+
+type NodePlan = {readonly node: string; readonly domain: string; readonly service: string};
+
+const loopbackAnyPort = '127.0.0.1:0';
+const tokenBytes = 24;
+const shutdownTimeoutMilliseconds = 10_000;
+const slotsOfEach = 32;
+const ordinaryPriority = 5;
+const importantPriority = 1;
+const retriesOfIdempotent = 2;
+
+const nodePlans: readonly NodePlan[] = [
+	{node: 'node-1', domain: 'north', service: 'orders-app'},
+	{node: 'node-2', domain: 'north', service: 'billing-app'},
+	{node: 'node-3', domain: 'south', service: 'orders-app'},
+];
+
+const teams = ['upland-council', 'valley-council'];
+
+const routes: readonly DemoRoute[] = [
+	{
+		method: 'GET', path: '/status', service: 'orders-app', open: true, idempotent: true,
+	},
+	{
+		method: 'GET', path: '/orders/:id', service: 'orders-app', open: false, idempotent: true,
+	},
+	{
+		method: 'POST', path: '/orders', service: 'orders-app', open: false, idempotent: false,
+	},
+	{
+		method: 'GET', path: '/statement', service: 'orders-app', open: false, idempotent: true,
+	},
+	{
+		method: 'GET', path: '/invoices/:id', service: 'billing-app', open: false, idempotent: true,
+	},
+];
+
+/** The path that passes through two services, and the call that it makes. */
+const callsOfOrders: ReadonlyMap<string, string> = new Map([['/statement', '/invoices/latest']]);
+
+const firstStatements: readonly string[] = [
+	'set domain north weight 2 witnesses node-1',
+	'set domain south weight 1 witnesses node-3',
+	...teams.map(team => `create team ${team} rate 200/s burst 200`),
+	...routes.map(route => describeRoute(route)),
+];
+
+function describeRoute(route: DemoRoute): string {
+	const {method, path: pattern, service, idempotent, open} = route;
+	const priority = idempotent ? ordinaryPriority : importantPriority;
+	const retries = idempotent ? retriesOfIdempotent : 0;
+	return `create route ${method} ${pattern} service ${service} priority ${priority} idempotent ${yesOrNo(idempotent)} open ${yesOrNo(open)} retries ${retries}`;
+}
+
+function yesOrNo(value: boolean): string {
+	return value ? 'yes' : 'no';
+}
+
+/** Reads a secret from a file of the data folder, or makes it at the first start. */
+async function keepSecret(file: string): Promise<string> {
+	try {
+		const secret = await readFile(file, 'utf8');
+		return secret.trim();
+	} catch {
+		const secret = randomBytes(tokenBytes).toString('base64url');
+		await writeFile(file, `${secret}\n`, {mode: 0o600});
+		return secret;
+	}
+}
+
+async function startControl(options: DemoOptions, token: string, fleetToken: string): Promise<ControlProcess> {
+	const member = createMemberId('control-1');
+	return ControlProcess.start({
+		member,
+		dataFolder: path.join(options.dataFolder, 'control-1'),
+		operatorAddress: `127.0.0.1:${options.operatorPort}`,
+		rpcAddress: loopbackAnyPort,
+		members: new Map([[member, loopbackAnyPort]]),
+		operators: [{name: 'demo', role: 'operator', token}],
+		credentials: {kind: 'token', token: fleetToken},
+		randomSeed: 1,
+		onStorageFailure: options.onStorageFailure,
+	});
+}
+
+function nodeSettings(plan: NodePlan, callersPort: number, control: string, seeds: readonly string[]): NodeSettings {
+	return {
+		node: createNodeId(plan.node),
+		domain: createFailureDomain(plan.domain),
+		callersAddress: `127.0.0.1:${callersPort}`,
+		gateAddress: loopbackAnyPort,
+		rpcAddress: loopbackAnyPort,
+		announceAddress: loopbackAnyPort,
+		egressAddress: loopbackAnyPort,
+		statusAddress: loopbackAnyPort,
+		control: [control],
+		seeds,
+		security: {kind: 'token', tokenFile: 'fleet-token'},
+		limits: {
+			maximumHeaderBytes: 16_384, maximumBodyBytes: 16_777_216, maximumPathBytes: 4096, maximumConnections: 1000,
+		},
+		shutdownTimeoutMilliseconds,
+		log: {level: 'warn', format: 'people'},
+	};
+}
+
+async function startNodes(options: DemoOptions, control: string, fleetToken: string): Promise<ReadonlyMap<NodeId, NodeProcess>> {
+	const nodes = new Map<NodeId, NodeProcess>();
+	const seeds: string[] = [];
+	for (const [index, plan] of nodePlans.entries()) {
+		const callersPort = options.callersPort === 0 ? 0 : options.callersPort + index;
+		const settings = nodeSettings(plan, callersPort, control, seeds);
+		const node = await NodeProcess.start(settings, {kind: 'token', token: fleetToken});
+		nodes.set(settings.node, node);
+		seeds.push(node.rpcAddress);
+	}
+
+	return nodes;
+}
+
+async function startUpstreams(nodes: ReadonlyMap<NodeId, NodeProcess>): Promise<readonly StandInUpstream[]> {
+	const upstreams: StandInUpstream[] = [];
+	for (const plan of nodePlans) {
+		const {addresses} = nodes.get(createNodeId(plan.node))!;
+		const upstream = new StandInUpstream({
+			service: plan.service,
+			slots: slotsOfEach,
+			announceUrl: `http://${addresses.announce}`,
+			egressUrl: `http://${addresses.egress}`,
+			calls: plan.service === 'orders-app' ? callsOfOrders : new Map(),
+		});
+		await upstream.start();
+		upstreams.push(upstream);
+	}
+
+	return upstreams;
+}
+
+/** Sends the first statements; what an earlier start on the same data folder made is left as it is. */
+async function configure(access: OperatorAccess): Promise<Readonly<Record<string, string>>> {
+	for (const [index, statement] of firstStatements.entries()) {
+		try {
+			await sendStatement(access, statement, `demo-first-statement-${index}`);
+		} catch (error: unknown) {
+			if (!(error instanceof StatementRefusedError) || error.code !== 'already-exists') {
+				throw error;
+			}
+		}
+	}
+
+	const keys: Record<string, string> = {};
+	for (const team of teams) {
+		const answer = await sendStatement(access, `issue key for team ${team}`, `demo-key-of-${team}`);
+		if (answer.kind === 'changed' && answer.secret !== undefined) {
+			keys[team] = answer.secret;
+		}
+	}
+
+	return keys;
+}
+
+/** Starts the demo; it serves once the promise resolves. */
+export async function startDemo(options: DemoOptions): Promise<RunningDemo> {
+	await mkdir(options.dataFolder, {recursive: true});
+	const operatorTokenFile = path.join(options.dataFolder, 'operator-token');
+	const token = await keepSecret(operatorTokenFile);
+	const fleetToken = await keepSecret(path.join(options.dataFolder, 'fleet-token'));
+	const control = await startControl(options, token, fleetToken);
+	const nodes = await startNodes(options, control.rpcAddress, fleetToken);
+	const upstreams = await startUpstreams(nodes);
+	const access: OperatorAccess = {operatorUrl: control.operatorUrl, token};
+	const keys = await configure(access);
+	return {
+		callers: [...nodes.values()].map(node => `http://${node.addresses.callers}`),
+		operator: control.operatorUrl,
+		operatorTokenFile,
+		keys,
+		routes,
+		upstreams: upstreams.map(upstream => upstream.url),
+		access,
+		async stop() {
+			await Promise.all(upstreams.map(async upstream => upstream.leave()));
+			await Promise.all([...nodes.values()].map(async node => node.stop()));
+			await Promise.all(upstreams.map(async upstream => upstream.stop()));
+			await control.close();
+		},
+	};
+}
