Start a whole node from its settings

startFleetNode wires remote calls, the fleet runtime, admission, routing, claims over RPC and the observer; fireflyglade-node is a thin shell over it. Gate listeners take mutual TLS beside the fleet token.

--- a/packages/node/src/_lib/remote-gate/index.ts
+++ b/packages/node/src/_lib/remote-gate/index.ts
@@ -8,7 +8,7 @@
 } from '@fireflyglade/model';
 import {
 	BodyTooLargeError, HttpSender,
-	type AnswerFlow, type AnswerHead, type AnswerReceiver, type HeaderFields, type RequestProgress, type RunningSend, type SendFailure,
+	type AnswerFlow, type AnswerHead, type AnswerReceiver, type FleetCredentials, type HeaderFields, type MutualTlsCredentials, type RequestProgress, type RunningSend, type SendFailure,
 } from '@fireflyglade/transport';
 import type {OutcomeAsker} from '../../dependencies.js';
 import type {
@@ -20,7 +20,7 @@
 
 /** What the calls to other gates need. */
 export type RemoteGatesOptions = {
-	readonly fleetToken: string;
+	readonly credentials: FleetCredentials;
 	readonly outcomes: OutcomeAsker;
 	readonly clock: Clock;
 };
@@ -72,7 +72,7 @@
 	#senderTo(url: string): HttpSender {
 		let sender = this.#gates.get(url);
 		if (sender === undefined) {
-			sender = new HttpSender(url, {keepAliveMilliseconds, connectMilliseconds});
+			sender = new HttpSender(url, {keepAliveMilliseconds, connectMilliseconds, ...tlsOptions(this.#options.credentials)});
 			this.#gates.set(url, sender);
 		}
 
@@ -112,8 +112,7 @@
 				...this.#call.headers,
 				'traceparent',
 				context.traceparent,
-				fleetTokenField,
-				this.#options.fleetToken,
+				...credentialFields(this.#options.credentials),
 				callField,
 				this.#formatCall(),
 			],
@@ -234,6 +233,14 @@
 	}
 }
 
+function tlsOptions(credentials: FleetCredentials): {readonly mutualTls?: MutualTlsCredentials} {
+	return credentials.kind === 'mutual-tls' ? {mutualTls: credentials} : {};
+}
+
+function credentialFields(credentials: FleetCredentials): readonly string[] {
+	return credentials.kind === 'token' ? [fleetTokenField, credentials.token] : [];
+}
+
 const unreachableGate: Problem = {code: 'no-upstream', outcome: 'not-run', detail: 'the gate could not be reached'};
 
 function readProblem(head: AnswerHead, body: Uint8Array): Problem {
--- /dev/null
+++ b/packages/node/src/control-claims/index.ts
@@ -0,0 +1,102 @@
+/**
+Claims of jobs over RPC: any control process takes a claim and passes it on to
+the leader of the replicated log.
+*/
+
+import {FireflygladeError, type Clock} from '@fireflyglade/model';
+import {
+	encodeCommand,
+	type ClaimOutcome, type ClaimRequest, type ClaimResult, type Command, type CommandResult,
+} from '@fireflyglade/state';
+import {
+	claimMethod, decodeMessage,
+	type ClaimCallAnswer, type RpcClient,
+} from '@fireflyglade/transport';
+import type {JobClaims} from '../dependencies.js';
+
+/** No quorum took the claim. */
+export class ClaimError extends FireflygladeError {
+	get code(): 'claim-failed' {
+		return 'claim-failed';
+	}
+}
+
+/** Options of claims over RPC. */
+export type ControlClaimsOptions = {
+	readonly client: RpcClient;
+	/** RPC addresses of control processes. */
+	readonly control: readonly string[];
+	readonly clock: Clock;
+};
+
+const callTimeoutMilliseconds = 2000;
+const finishTries = 5;
+const finishPauseMilliseconds = 500;
+
+/** Claims of jobs over RPC. */
+export class ControlClaims implements JobClaims {
+	readonly #options: ControlClaimsOptions;
+	/** The control process that answered last. */
+	#preferred = 0;
+
+	constructor(options: ControlClaimsOptions) {
+		this.#options = options;
+	}
+
+	async begin(claim: ClaimRequest): Promise<ClaimResult> {
+		const result = await this.#submit({kind: 'begin-claim', claim, at: this.#options.clock.wallNow()});
+		if (result.kind !== 'claim') {
+			throw new ClaimError(`a claim was answered with ${result.kind}`);
+		}
+
+		return result.result;
+	}
+
+	async finish(claim: ClaimRequest, outcome: ClaimOutcome): Promise<void> {
+		const {team, job, requestId} = claim;
+		for (let tries = 1; ; tries += 1) {
+			try {
+				await this.#submit({
+					kind: 'finish-claim', team, job, requestId, outcome, at: this.#options.clock.wallNow(),
+				});
+				return;
+			} catch (error) {
+				if (tries === finishTries) {
+					throw error;
+				}
+			}
+
+			await this.#pause();
+		}
+	}
+
+	/** Asks one control process after the other; a command that arrives twice has one effect. */
+	async #submit(command: Command): Promise<CommandResult> {
+		const {control} = this.#options;
+		const encoded = encodeCommand(command);
+		for (const _address of control) {
+			const answer = await this.#call(control[this.#preferred % control.length]!, encoded);
+			if (answer?.kind === 'result') {
+				return decodeMessage(answer.result) as CommandResult;
+			}
+
+			this.#preferred += 1;
+		}
+
+		throw new ClaimError('no quorum of the control processes took the claim');
+	}
+
+	async #call(address: string, command: Uint8Array): Promise<ClaimCallAnswer | undefined> {
+		try {
+			return await this.#options.client.call(claimMethod, address, {command}, {timeoutMilliseconds: callTimeoutMilliseconds});
+		} catch {
+			return undefined;
+		}
+	}
+
+	async #pause(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#options.clock.startTimer(finishPauseMilliseconds, resolve);
+		});
+	}
+}
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -5,7 +5,7 @@
 
 import {
 	announcementIntervalMilliseconds, bytesInKibibyte,
-	type Target, type TeamName, type Timer,
+	type GateLevel, type Target, type TeamName, type Timer,
 } from '@fireflyglade/model';
 import {
 	HttpListener,
@@ -35,6 +35,10 @@
 /** A node that has been started. */
 export type RunningNode = {
 	readonly addresses: NodeAddresses;
+	/** Base URL of the gate listener. */
+	readonly gateUrl: string;
+	/** Load of the gate; undefined without an upstream. */
+	level(): GateLevel | undefined;
 	/** Answers another node's question about a request; to be served over RPC. */
 	answerOutcome(question: OutcomeQuestion): OutcomeAnswer;
 	/** Requests that wait or run at the gate or are under way from here. */
@@ -71,7 +75,7 @@
 	#refreshTimer: Timer | undefined;
 
 	constructor(dependencies: NodeDependencies) {
-		const {clock, fleetToken, settings, observer} = dependencies;
+		const {clock, credentials, settings, observer} = dependencies;
 		this.#dependencies = dependencies;
 		this.#gate = new Gate({...dependencies, node: settings.node});
 		this.#remoteGates = new RemoteGates(dependencies);
@@ -94,14 +98,14 @@
 				this.#announceTarget();
 			},
 		});
-		const gateHandler = new GateListenerHandler({gate: this.#gate, fleetToken, clock});
+		const gateHandler = new GateListenerHandler({gate: this.#gate, credentials, clock});
 		this.#listeners = {
 			callers: new HttpListener((request, response) => {
 				this.#callers.handle(request, response);
 			}, settings.limits),
 			gate: new HttpListener((request, response) => {
 				gateHandler.handle(request, response);
-			}, innerLimits),
+			}, {...innerLimits, ...(credentials.kind === 'mutual-tls' ? {mutualTls: credentials} : {})}),
 			egress: new HttpListener((request, response) => {
 				this.#egress.handle(request, response);
 			}, innerLimits),
@@ -117,6 +121,11 @@
 		return this.#addresses!;
 	}
 
+	get gateUrl(): string {
+		const scheme = this.#dependencies.credentials.kind === 'mutual-tls' ? 'https' : 'http';
+		return `${scheme}://${this.addresses.gate}`;
+	}
+
 	async start(): Promise<void> {
 		const {settings, fleet} = this.#dependencies;
 		this.#addresses = {
@@ -134,6 +143,10 @@
 		this.#takeChanges();
 	}
 
+	level(): GateLevel | undefined {
+		return this.#gate.level();
+	}
+
 	answerOutcome(question: OutcomeQuestion): OutcomeAnswer {
 		return this.#gate.answer(question);
 	}
@@ -177,7 +190,7 @@
 			service: upstream.announced.service,
 			node: settings.node,
 			domain: settings.domain,
-			gateUrl: `http://${this.addresses.gate}`,
+			gateUrl: this.gateUrl,
 			rpcAddress,
 			available: this.#stopping === undefined,
 			slots: upstream.announced.slots,
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -10,7 +10,7 @@
 import type {RetryBudget, Routing} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import type {ClaimOutcome, ClaimRequest, ClaimResult} from '@fireflyglade/state';
-import type {OutcomeAnswer, OutcomeQuestion} from '@fireflyglade/transport';
+import type {FleetCredentials, OutcomeAnswer, OutcomeQuestion} from '@fireflyglade/transport';
 import type {Fleet} from './types.js';
 
 /** Claims of jobs in the replicated log. */
@@ -71,8 +71,8 @@
 /** Everything that a node is given. */
 export type NodeDependencies = {
 	readonly settings: NodeSettings;
-	/** Secret that peers show at the gate listener. */
-	readonly fleetToken: string;
+	/** How nodes prove at each other's gates that they belong to the fleet. */
+	readonly credentials: FleetCredentials;
 	/** Bound address of the node's RPC listener, for others to ask outcomes at. */
 	readonly rpcAddress: string;
 	readonly fleet: Fleet;
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -10,7 +10,7 @@
 } from '@fireflyglade/model';
 import {
 	AnswerWriter, readWholeBody, selectRequestFields, writeProblem,
-	type AnswerFlow, type AnswerHead, type HeaderFields, type OutgoingBody,
+	type AnswerFlow, type AnswerHead, type FleetCredentials, type HeaderFields, type OutgoingBody,
 } from '@fireflyglade/transport';
 import type {Gate} from '../gate/index.js';
 import type {
@@ -25,7 +25,7 @@
 /** What the gate's listener is given. */
 export type GateListenerOptions = {
 	readonly gate: Gate;
-	readonly fleetToken: string;
+	readonly credentials: FleetCredentials;
 	readonly clock: Clock;
 };
 
@@ -33,17 +33,18 @@
 export class GateListenerHandler {
 	readonly #gate: Gate;
 	readonly #clock: Clock;
-	readonly #check: SecretCheck;
+	/** Absent where certificates have proved the peer already. */
+	readonly #check: SecretCheck | undefined;
 
 	constructor(options: GateListenerOptions) {
 		this.#gate = options.gate;
 		this.#clock = options.clock;
-		this.#check = new SecretCheck(options.fleetToken);
+		this.#check = options.credentials.kind === 'token' ? new SecretCheck(options.credentials.token) : undefined;
 	}
 
 	/** Serves one call. */
 	handle(request: IncomingMessage, response: ServerResponse): void {
-		if (!this.#check.matches(request.headers[fleetTokenField])) {
+		if (this.#check?.matches(request.headers[fleetTokenField]) === false) {
 			response.shouldKeepAlive = false;
 			writeProblem(response, {code: 'peer-refused', outcome: 'not-run', detail: 'only nodes of the fleet may call a gate'});
 			return;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,4 +6,6 @@
 export * from './fleet-runtime-methods/index.js';
 export type * from './types.js';
 export type * from './dependencies.js';
+export * from './control-claims/index.js';
 export * from './create-node/index.js';
+export * from './start-fleet-node/index.js';
--- /dev/null
+++ b/packages/node/src/main.ts
@@ -0,0 +1,46 @@
+#!/usr/bin/env node
+/**
+The daemon `fireflyglade-node SETTINGS`.
+
+Exit codes: 0 after a graceful shutdown, 2 if the settings have faults, 3 if
+the process could not start.
+*/
+
+import {Command} from 'commander';
+import {FireflygladeError} from '@fireflyglade/model';
+import {createLogger} from '@fireflyglade/observability';
+import {loadNodeSettings, SettingsError} from '@fireflyglade/settings';
+import {loadFleetCredentials} from '@fireflyglade/transport';
+import {startFleetNode} from './start-fleet-node/index.js';
+
+const exitCodes = {settings: 2, start: 3} as const;
+
+async function run(file: string): Promise<void> {
+	const settings = await loadNodeSettings(file);
+	const logger = createLogger(settings.log, {process: settings.node});
+	const node = await startFleetNode(settings, {credentials: await loadFleetCredentials(settings.security)});
+	logger.info('serves callers', {...node.addresses, rpc: node.rpcAddress});
+	const shutDown = async (signal: string): Promise<void> => {
+		logger.info('shuts down', {signal});
+		await node.stop();
+		logger.info('has shut down');
+	};
+
+	process.on('SIGTERM', () => {
+		void shutDown('SIGTERM');
+	});
+	process.on('SIGINT', () => {
+		void shutDown('SIGINT');
+	});
+}
+
+const program = new Command('fireflyglade-node')
+	.argument('<settings>', 'settings file in JSON with comments')
+	.action(run);
+
+try {
+	await program.parseAsync();
+} catch (error: unknown) {
+	console.error(error instanceof FireflygladeError ? error.message : error);
+	process.exitCode = error instanceof SettingsError ? exitCodes.settings : exitCodes.start;
+}
--- a/packages/node/src/test-support/index.ts
+++ b/packages/node/src/test-support/index.ts
@@ -223,7 +223,7 @@
 		const domain = createFailureDomain('north');
 		const node = await createNode({
 			settings: createSettings(name, settings),
-			fleetToken,
+			credentials: {kind: 'token', token: fleetToken},
 			rpcAddress: name,
 			fleet: this.shared.viewOf(name),
 			createAdmission: options => new GateAdmission({...options, cold: false}),
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -4,13 +4,15 @@
 */
 
 import {
-	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
+	createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
 import type {AddressInfo, Socket} from 'node:net';
 import {
 	formatProblem, InvalidInputError, problemStatus, type Problem, type ProblemCode,
 } from '@fireflyglade/model';
 import {problemFields, writeProblem} from '../http-answer/index.js';
+import type {MutualTlsCredentials} from '../http-types/index.js';
 
 /** Options of a listener. */
 export type HttpListenerOptions = {
@@ -18,6 +20,8 @@
 	readonly maximumConnections: number;
 	/** Milliseconds after which an unused connection is closed. */
 	readonly keepAliveMilliseconds?: number;
+	/** Lets in only those who show a certificate of the fleet's authority; plain HTTP if absent. */
+	readonly mutualTls?: MutualTlsCredentials;
 };
 
 const defaultKeepAliveMilliseconds = 75_000;
@@ -34,14 +38,16 @@
 
 	constructor(handler: RequestListener, options: HttpListenerOptions) {
 		this.#options = options;
-		this.#server = createServer({
+		const {mutualTls} = options;
+		const serverOptions: ServerOptions = {
 			maxHeaderSize: options.maximumHeaderBytes,
 			keepAliveTimeout: options.keepAliveMilliseconds ?? defaultKeepAliveMilliseconds,
 			headersTimeout: headersTimeoutMilliseconds,
 			requestTimeout: 0,
 			requireHostHeader: false,
 			noDelay: true,
-		});
+		};
+		this.#server = mutualTls === undefined ? createServer(serverOptions) : createSecureServer(serverOptions, mutualTls);
 		const handle: RequestListener = (request, response) => {
 			this.#handle(request, response, handler);
 		};
@@ -144,6 +150,17 @@
 	return {host: address.slice(0, separator), port};
 }
 
+function createSecureServer(options: ServerOptions, {authority, certificate, privateKey}: MutualTlsCredentials): Server {
+	return createTlsServer({
+		...options,
+		ca: Buffer.from(authority),
+		cert: Buffer.from(certificate),
+		key: Buffer.from(privateKey),
+		requestCert: true,
+		rejectUnauthorized: true,
+	});
+}
+
 function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
 	if (!socket.writable || error.code === 'ECONNRESET') {
 		socket.destroy();
--- a/packages/transport/src/http-sender/index.ts
+++ b/packages/transport/src/http-sender/index.ts
@@ -9,7 +9,9 @@
 import {Readable} from 'node:stream';
 import {FireflygladeError} from '@fireflyglade/model';
 import {Pool, type Dispatcher} from 'undici';
-import type {AnswerReceiver, OutgoingRequest, RunningSend} from '../http-types/index.js';
+import type {
+	AnswerReceiver, MutualTlsCredentials, OutgoingRequest, RunningSend,
+} from '../http-types/index.js';
 
 /** A request was given up by its sender. */
 export class SendCancelledError extends FireflygladeError {
@@ -33,6 +35,8 @@
 	readonly keepAliveMilliseconds?: number;
 	/** Milliseconds that opening a connection may take. */
 	readonly connectMilliseconds?: number;
+	/** Certificates to show and to check; plain HTTP if absent. */
+	readonly mutualTls?: MutualTlsCredentials;
 };
 
 const defaultKeepAliveMilliseconds = 4000;
@@ -51,7 +55,7 @@
 			bodyTimeout: 0,
 			maxHeaderSize: maximumAnswerHeaderBytes,
 			keepAliveTimeout: options.keepAliveMilliseconds ?? defaultKeepAliveMilliseconds,
-			connect: {timeout: options.connectMilliseconds ?? defaultConnectMilliseconds},
+			connect: {timeout: options.connectMilliseconds ?? defaultConnectMilliseconds, ...secureConnect(options.mutualTls)},
 		});
 	}
 
@@ -88,6 +92,14 @@
 	}
 }
 
+function secureConnect(mutualTls: MutualTlsCredentials | undefined): {readonly ca?: Uint8Array; readonly cert?: Uint8Array; readonly key?: Uint8Array} {
+	if (mutualTls === undefined) {
+		return {};
+	}
+
+	return {ca: Buffer.from(mutualTls.authority), cert: Buffer.from(mutualTls.certificate), key: Buffer.from(mutualTls.privateKey)};
+}
+
 class Exchange implements Dispatcher.DispatchHandler, RunningSend {
 	readonly #receiver: AnswerReceiver;
 	#controller: Dispatcher.DispatchController | undefined;
--- a/packages/transport/src/http-types/index.ts
+++ b/packages/transport/src/http-types/index.ts
@@ -4,6 +4,10 @@
 */
 
 import type {Readable} from 'node:stream';
+import type {FleetCredentials} from '../types.js';
+
+/** Certificates by which processes of the fleet know each other, in PEM. */
+export type MutualTlsCredentials = Omit<Extract<FleetCredentials, {readonly kind: 'mutual-tls'}>, 'kind'>;
 
 /** Header fields by lower-case name. */
 export type HeaderFields = Readonly<Record<string, string | readonly string[] | undefined>>;
