--- a/packages/demo/src/start-demo/index.ts
+++ b/packages/demo/src/start-demo/index.ts
@@ -11,7 +11,7 @@
 import {
 	createFailureDomain, createMemberId, createNodeId, type NodeId,
 } from '@fireflyglade/model';
-import {NodeProcess} from '@fireflyglade/node';
+import {startFleetNode, type FleetNode} from '@fireflyglade/node';
 import {StandInUpstream} from '@fireflyglade/scenario';
 import type {NodeSettings} from '@fireflyglade/settings';
 import {sendStatement, StatementRefusedError, type OperatorAccess} from '../operator-statements/index.js';
@@ -157,13 +157,13 @@
 	};
 }
 
-async function startNodes(options: DemoOptions, control: string, fleetToken: string): Promise<ReadonlyMap<NodeId, NodeProcess>> {
-	const nodes = new Map<NodeId, NodeProcess>();
+async function startNodes(options: DemoOptions, control: string, fleetToken: string): Promise<ReadonlyMap<NodeId, FleetNode>> {
+	const nodes = new Map<NodeId, FleetNode>();
 	const seeds: string[] = [];
 	for (const [index, plan] of nodePlans.entries()) {
 		const callersPort = options.callersPort === 0 ? 0 : options.callersPort + index;
 		const settings = nodeSettings(plan, callersPort, control, seeds);
-		const node = await NodeProcess.start(settings, {kind: 'token', token: fleetToken});
+		const node = await startFleetNode(settings, {credentials: {kind: 'token', token: fleetToken}});
 		nodes.set(settings.node, node);
 		seeds.push(node.rpcAddress);
 	}
@@ -171,7 +171,7 @@
 	return nodes;
 }
 
-async function startUpstreams(nodes: ReadonlyMap<NodeId, NodeProcess>): Promise<readonly StandInUpstream[]> {
+async function startUpstreams(nodes: ReadonlyMap<NodeId, FleetNode>): Promise<readonly StandInUpstream[]> {
 	const upstreams: StandInUpstream[] = [];
 	for (const plan of nodePlans) {
 		const {addresses} = nodes.get(createNodeId(plan.node))!;
