Know a resent command by the digest of its statement

Cause: control translates a statement by its present configuration (set domain keeps what isn't named), so an honest resend may carry another change and was refused as a second use of its command id.

Change: a command may carry requestDigest; without it the changes are compared.

Conclusion: control should set requestDigest from the statement's text.

--- a/packages/state/src/_lib/command-results.ts
+++ b/packages/state/src/_lib/command-results.ts
@@ -6,10 +6,10 @@
 import type {CommandId, ConfigurationChange} from '@fireflyglade/model';
 import type {CommandResult} from '../types.js';
 
-/** The result of one command, with a digest of the change that it was given for. */
+/** The result of one command, with a digest of the request that it was given for. */
 export type KeptResult = {
 	readonly commandId: CommandId;
-	readonly changeDigest: string;
+	readonly requestDigest: string;
 	readonly result: CommandResult;
 };
 
--- a/packages/state/src/configuration-state-machine/index.ts
+++ b/packages/state/src/configuration-state-machine/index.ts
@@ -203,17 +203,17 @@
 	}
 
 	#applyOnce(command: ChangeCommand): CommandResult {
-		const changeDigest = digestChange(command.change);
+		const requestDigest = command.requestDigest ?? digestChange(command.change);
 		const kept = this.#results.get(command.commandId);
 		if (kept === undefined) {
 			const result = this.#change(command);
-			this.#results.add({commandId: command.commandId, changeDigest, result});
+			this.#results.add({commandId: command.commandId, requestDigest, result});
 			return result;
 		}
 
-		return kept.changeDigest === changeDigest
+		return kept.requestDigest === requestDigest
 			? kept.result
-			: refused({kind: 'invalid', what: `command id ${command.commandId} was used for another change`});
+			: refused({kind: 'invalid', what: `command id ${command.commandId} was used for another request`});
 	}
 
 	#change(command: ChangeCommand): CommandResult {
--- a/packages/state/src/configuration-state-machine/test.ts
+++ b/packages/state/src/configuration-state-machine/test.ts
@@ -76,6 +76,13 @@
 		expect(machine.apply(change('c1', createTeam('south')))).to.have.nested.property('refusal.kind', 'invalid');
 	});
 
+	it('knows a resend by its statement, though it would be translated into another change now', () => {
+		const machine = new ConfigurationStateMachine();
+		const first = machine.apply({...change('c1', createTeam('north')), requestDigest: 'statement'} as Command);
+		expect(machine.apply({...change('c1', createTeam('south')), requestDigest: 'statement'} as Command)).to.deep.equal(first);
+		expect(machine.apply({...change('c1', createTeam('south')), requestDigest: 'other'} as Command)).to.have.nested.property('refusal.kind', 'invalid');
+	});
+
 	it('lets one of two operators under equal revisions win and names the winner to the other', () => {
 		const machine = new ConfigurationStateMachine();
 		machine.apply(change('c1', createTeam('north'), 0));
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -12,6 +12,11 @@
 	| {
 		readonly kind: 'change';
 		readonly commandId: CommandId;
+		/**
+		Digest of the operator's statement. A resend is known by it even if the statement
+		would now be translated into another change; without it the changes are compared.
+		*/
+		readonly requestDigest?: string;
 		readonly change: ConfigurationChange;
 		/** The change is refused unless the configuration is at this revision. */
 		readonly expectedRevision?: Revision;
