Bound the queue by waiting time too and explore more rarely

Exploring after 2 s cost goodput in short overloads.

Change: what waits should start within 250 ms by the expected service time; exploration starts after 10 s without a break at the limit.

Conclusion: to be measured with real nodes.

--- a/packages/admission/src/_lib/service-estimate/index.ts
+++ b/packages/admission/src/_lib/service-estimate/index.ts
@@ -18,13 +18,20 @@
 	sampledAt: number;
 };
 
+/** Index of the estimate over all priorities. */
+const overallIndex = lowestPriority + 1;
+
 /** Estimates of service time in milliseconds, by priority. */
 export class ServiceEstimate {
 	readonly #estimates: Estimate[] = [];
 
 	/** Takes over the duration of a run. */
 	record(priority: number, milliseconds: number, now: number): void {
-		const index = Math.min(lowestPriority, Math.max(0, Math.trunc(priority)));
+		this.#recordAt(indexOf(priority), milliseconds, now);
+		this.#recordAt(overallIndex, milliseconds, now);
+	}
+
+	#recordAt(index: number, milliseconds: number, now: number): void {
 		const estimate = this.#estimates[index];
 		if (estimate === undefined) {
 			this.#estimates[index] = {milliseconds, deviation: 0, sampledAt: now};
@@ -45,7 +52,7 @@
 	@param deviations - Mean deviations above the mean, for a safer figure.
 	*/
 	at(priority: number, deviations: number, now: number): number {
-		const estimate = this.#estimates[Math.min(lowestPriority, Math.max(0, Math.trunc(priority)))];
+		const estimate = this.#estimates[indexOf(priority)];
 		if (estimate === undefined) {
 			return 0;
 		}
@@ -53,8 +60,18 @@
 		return (estimate.milliseconds + (deviations * estimate.deviation)) * this.#fading(estimate, now);
 	}
 
+	/** Expected milliseconds of a run of any priority; 0 if nothing is known. */
+	overall(now: number): number {
+		const estimate = this.#estimates[overallIndex];
+		return estimate === undefined ? 0 : estimate.milliseconds * this.#fading(estimate, now);
+	}
+
 	#fading(estimate: Estimate, now: number): number {
 		const idle = now - estimate.sampledAt - graceMilliseconds;
 		return idle <= 0 ? 1 : 0.5 ** (idle / halfLifeMilliseconds);
 	}
 }
+
+function indexOf(priority: number): number {
+	return Math.min(lowestPriority, Math.max(0, Math.trunc(priority)));
+}
--- a/packages/admission/src/adaptive-limit/index.ts
+++ b/packages/admission/src/adaptive-limit/index.ts
@@ -42,8 +42,8 @@
 const firstHoldMilliseconds = 500;
 const longestHoldMilliseconds = 8000;
 /** Time without a break at the limit after which a probe starts without any rise, as the baseline may be that of an overloaded upstream. */
-const firstExplorationMilliseconds = 2000;
-const longestExplorationMilliseconds = 60_000;
+const firstExplorationMilliseconds = 10_000;
+const longestExplorationMilliseconds = 120_000;
 /** Part of the way by which the baseline follows a faster window. */
 const baselineFall = 0.5;
 /** Part of the way by which the baseline follows a slower window of an almost idle upstream. */
--- a/packages/admission/src/gate-admission/index.ts
+++ b/packages/admission/src/gate-admission/index.ts
@@ -21,6 +21,8 @@
 /** Waiting requests that a gate keeps for each request that it may run. */
 const waitingPerRunning = 3;
 const minimumCapacity = 16;
+/** Time in which all that waits should have started. */
+const targetWaitMilliseconds = 250;
 /** Time for which something must wait without a break until the queue counts as standing. */
 const standingMilliseconds = 100;
 /** Mean deviations of the service time that a request must have left while the queue stands. */
@@ -203,12 +205,13 @@
 	}
 
 	#capacity(now: number): number {
-		return Math.max(minimumCapacity, waitingPerRunning * this.#limit.current(now));
+		const rounds = Math.min(waitingPerRunning, targetWaitMilliseconds / Math.max(1, this.#estimate.overall(now)));
+		return Math.max(minimumCapacity, rounds * this.#limit.current(now));
 	}
 
 	#retryAfter(now: number): number {
 		const rounds = this.#room.size / this.#limit.current(now);
-		const expected = rounds * this.#estimate.at(lowestPriority, 0, now);
+		const expected = rounds * this.#estimate.overall(now);
 		return Math.round(Math.min(maximumRetryAfterMilliseconds, Math.max(minimumRetryAfterMilliseconds, expected)));
 	}
 
