--- /dev/null
+++ b/packages/node/src/_lib/call-table/index.ts
@@ -0,0 +1,119 @@
+/**
+The requests that run in the gate, found by the token that the gate gave with
+each or by the trace id. Calls that the upstream makes take team, priority,
+deadline and retries from here, never from what the upstream says.
+*/
+
+import type {CallContext} from '@fireflyglade/model';
+import {SharedAttempts} from '@fireflyglade/routing';
+import {createContextToken} from '../request-ids/index.js';
+import {readTraceId} from '../trace-context/index.js';
+
+/** A request that runs in the gate. */
+export class RunningRequest {
+	readonly token = createContextToken();
+	readonly #children = new Set<() => void>();
+	readonly #attempts: SharedAttempts;
+
+	constructor(readonly context: CallContext) {
+		this.#attempts = new SharedAttempts(context.remainingAttempts);
+	}
+
+	/** Retries of the call tree that no call below has taken. */
+	get retriesLeft(): number {
+		return this.#attempts.unspent;
+	}
+
+	/** Takes up to `wanted` attempts for a call below, its first counted; retries that it leaves unused come back. */
+	takeAttempts(wanted: number): number {
+		const taken = this.#attempts.take();
+		const granted = Math.max(1, Math.min(wanted, taken));
+		this.#attempts.giveBack(taken - granted);
+		return granted;
+	}
+
+	/** Takes unused retries back. */
+	returnRetries(count: number): void {
+		this.#attempts.giveBack(count);
+	}
+
+	/** Registers a call below, to be cancelled with this request; returns a function that ends this. */
+	addChild(cancel: () => void): () => void {
+		this.#children.add(cancel);
+		return () => {
+			this.#children.delete(cancel);
+		};
+	}
+
+	/** Cancels the calls below. */
+	cancelChildren(): void {
+		for (const cancel of this.#children) {
+			cancel();
+		}
+
+		this.#children.clear();
+	}
+}
+
+/** The requests that run in one gate. */
+export class CallTable {
+	readonly #byToken = new Map<string, RunningRequest>();
+	readonly #byTrace = new Map<string, Set<RunningRequest>>();
+
+	add(context: CallContext): RunningRequest {
+		const running = new RunningRequest(context);
+		this.#byToken.set(running.token, running);
+		const traceId = readTraceId(context.traceparent);
+		if (traceId !== undefined) {
+			const sameTrace = this.#byTrace.get(traceId);
+			if (sameTrace === undefined) {
+				this.#byTrace.set(traceId, new Set([running]));
+			} else {
+				sameTrace.add(running);
+			}
+		}
+
+		return running;
+	}
+
+	remove(running: RunningRequest): void {
+		this.#byToken.delete(running.token);
+		const traceId = readTraceId(running.context.traceparent);
+		const sameTrace = traceId === undefined ? undefined : this.#byTrace.get(traceId);
+		if (sameTrace === undefined) {
+			return;
+		}
+
+		sameTrace.delete(running);
+		if (sameTrace.size === 0) {
+			this.#byTrace.delete(traceId!);
+		}
+	}
+
+	/**
+	Finds the request that a call belongs to. The token decides; a trace id does
+	only while all requests of that trace have the same root.
+	*/
+	findParent(token: string | undefined, traceparent: string | undefined): RunningRequest | undefined {
+		if (token !== undefined) {
+			return this.#byToken.get(token);
+		}
+
+		const traceId = readTraceId(traceparent);
+		const sameTrace = traceId === undefined ? undefined : this.#byTrace.get(traceId);
+		return sameTrace === undefined ? undefined : latestOfOneRoot(sameTrace);
+	}
+}
+
+function latestOfOneRoot(requests: ReadonlySet<RunningRequest>): RunningRequest | undefined {
+	let latest: RunningRequest | undefined;
+	for (const request of requests) {
+		if (latest !== undefined && latest.context.rootId !== request.context.rootId) {
+			return undefined;
+		}
+
+		latest = request;
+	}
+
+	return latest;
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -2,4 +2,8 @@
 The daemon beside each upstream.
 */
 
+export * from './fleet-runtime/index.js';
+export * from './fleet-runtime-methods/index.js';
 export type * from './types.js';
+export type * from './dependencies.js';
+export * from './create-node/index.js';
