--- a/packages/admission/src/_lib/service-estimate/index.ts
+++ b/packages/admission/src/_lib/service-estimate/index.ts
@@ -31,21 +31,6 @@
 		this.#recordAt(overallIndex, milliseconds, now);
 	}
 
-	#recordAt(index: number, milliseconds: number, now: number): void {
-		const estimate = this.#estimates[index];
-		if (estimate === undefined) {
-			this.#estimates[index] = {milliseconds, deviation: 0, sampledAt: now};
-			return;
-		}
-
-		const factor = this.#fading(estimate, now);
-		const mean = estimate.milliseconds * factor;
-		const deviation = estimate.deviation * factor;
-		estimate.milliseconds = mean + ((milliseconds - mean) * weightOfSample);
-		estimate.deviation = deviation + ((Math.abs(milliseconds - mean) - deviation) * weightOfSample);
-		estimate.sampledAt = now;
-	}
-
 	/**
 	Expected milliseconds of a run; 0 if nothing is known.
 
@@ -66,6 +51,21 @@
 		return estimate === undefined ? 0 : estimate.milliseconds * this.#fading(estimate, now);
 	}
 
+	#recordAt(index: number, milliseconds: number, now: number): void {
+		const estimate = this.#estimates[index];
+		if (estimate === undefined) {
+			this.#estimates[index] = {milliseconds, deviation: 0, sampledAt: now};
+			return;
+		}
+
+		const factor = this.#fading(estimate, now);
+		const mean = estimate.milliseconds * factor;
+		const deviation = estimate.deviation * factor;
+		estimate.milliseconds = mean + ((milliseconds - mean) * weightOfSample);
+		estimate.deviation = deviation + ((Math.abs(milliseconds - mean) - deviation) * weightOfSample);
+		estimate.sampledAt = now;
+	}
+
 	#fading(estimate: Estimate, now: number): number {
 		const idle = now - estimate.sampledAt - graceMilliseconds;
 		return idle <= 0 ? 1 : 0.5 ** (idle / halfLifeMilliseconds);
--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -121,9 +121,10 @@
 
 		this.#isDone = true;
 		this.#retryTimer?.cancel();
-		if (this.#running !== undefined) {
+		const running = this.#running;
+		if (running !== undefined) {
 			this.#endAttempt({kind: 'cancelled'});
-			this.#running.cancel();
+			running.cancel();
 		}
 	}
 
--- a/packages/scenario/src/stand-in-upstream/index.ts
+++ b/packages/scenario/src/stand-in-upstream/index.ts
@@ -6,7 +6,8 @@
 and every header that was received, so that anyone can see that no key reached
 it. Query parameters shape one answer: `delayMs`, `bytes`, `fail=STATUS`,
 `break=1` (cuts the answer midway), `call=PATH` (calls another service through
-the node's egress listener first and puts its answer into `called`).
+the node's egress listener first and puts its answer into `called`; a failure
+there is answered with 503).
 */
 
 import {
@@ -14,6 +15,7 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
+import {FireflygladeError} from '@fireflyglade/model';
 import {request} from 'undici';
 
 /** Options of a stand-in upstream. */
@@ -49,6 +51,7 @@
 
 const announceIntervalMilliseconds = 1000;
 const defaultAnnouncedSlots = 64;
+const firstFailureStatus = 500;
 
 function firstHeader(value: string | string[] | undefined): string | undefined {
 	return Array.isArray(value) ? value[0] : value;
@@ -162,6 +165,7 @@
 			const body = await readBody(message);
 			await this.#takeSlot();
 			try {
+				throwIfGone(response);
 				await this.#answer(message, response, run, body);
 			} finally {
 				this.#freeSlot();
@@ -200,9 +204,9 @@
 
 		const called = await this.#callOther(message, query.get('call') ?? this.#options.calls?.get(url.pathname));
 		const answer = JSON.stringify({
-			run: run.run, service: this.#options.service, body, headers: message.headers, called, padding: 'x'.repeat(Number(query.get('bytes') ?? 0)),
+			run: run.run, service: this.#options.service, body, headers: message.headers, called: called?.answer, padding: 'x'.repeat(Number(query.get('bytes') ?? 0)),
 		});
-		const status = Number(query.get('fail') ?? 200);
+		const status = Number(query.get('fail') ?? (called === undefined || called.status < firstFailureStatus ? 200 : 503));
 		response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(answer)});
 		if (query.get('break') === '1') {
 			response.write(answer.slice(0, Math.floor(answer.length / 2)));
@@ -214,7 +218,7 @@
 		response.end(answer);
 	}
 
-	async #callOther(message: IncomingMessage, path: string | undefined): Promise<unknown> {
+	async #callOther(message: IncomingMessage, path: string | undefined): Promise<CalledAnswer | undefined> {
 		if (path === undefined || this.#options.egressUrl === undefined) {
 			return undefined;
 		}
@@ -223,7 +227,7 @@
 		const answer = await request(`${this.#options.egressUrl}${path}`, {
 			headers: context === undefined ? {} : {'fireflyglade-context': context},
 		});
-		return answer.body.json();
+		return {status: answer.statusCode, answer: await answer.body.json()};
 	}
 
 	async #takeSlot(): Promise<void> {
@@ -249,6 +253,25 @@
 	}
 }
 
+/** What the called service answered. */
+type CalledAnswer = {
+	readonly status: number;
+	readonly answer: unknown;
+};
+
+/** A caller went away before its request got a slot. */
+class CallerGoneError extends FireflygladeError {
+	get code(): 'caller-gone' {
+		return 'caller-gone';
+	}
+}
+
+function throwIfGone(response: ServerResponse): void {
+	if (response.destroyed) {
+		throw new CallerGoneError('the caller went away while its request waited for a slot');
+	}
+}
+
 /** Waits, and rejects as soon as the caller goes away, as an upstream that accepts cancellation does. */
 async function waitUnlessClosed(response: ServerResponse, delay: number): Promise<void> {
 	const controller = new AbortController();
