--- /dev/null
+++ b/packages/scenario/src/bench/capacity/measure-membership/index.ts
@@ -0,0 +1,254 @@
+/**
+Messages, bytes, processor time and memory of membership, with all members in
+this process on virtual time. Every message passes through the codec.
+*/
+
+import {
+	GossipMembership, type MembershipActions, type MembershipMessage, type SelfDescription,
+} from '@fireflyglade/membership';
+import {
+	createFailureDomain, createNodeId, createServiceName, createUpstreamId, emptyConfiguration, millisecondsInSecond, SeededRandom,
+	type Configuration, type DomainSettings, type FailureDomain, type KeyId, type NodeId, type Revision,
+} from '@fireflyglade/model';
+import {decodeMessage, encodeMessage} from '@fireflyglade/transport';
+import {measureHeap, startProcessorTime} from '../_lib/process-figures.js';
+
+/** A size of the fleet. */
+export type FleetSize = {
+	readonly domains: number;
+	readonly nodesInDomain: number;
+};
+
+/** What one node of the fleet costs. */
+export type MembershipCost = FleetSize & {
+	/** Virtual seconds until every node knew every other, or undefined if that took too long. */
+	readonly joinSeconds: number | undefined;
+	/** Messages sent by one node a second. */
+	readonly messagesPerSecond: number;
+	/** Bytes that one node sent and received a second. */
+	readonly bytesPerSecond: number;
+	/** The same of the node with most. */
+	readonly busiestBytesPerSecond: number;
+	/** Milliseconds of processor time a second. */
+	readonly processorMillisecondsPerSecond: number;
+	readonly heapBytes: number;
+	/** Virtual milliseconds until a withdrawn key was known at every node, or undefined if that took too long. */
+	readonly withdrawalMilliseconds: number | undefined;
+};
+
+type Member = {
+	self: SelfDescription;
+	readonly membership: GossipMembership;
+	bytes: number;
+};
+
+const stepMilliseconds = 100;
+const joinLimitSeconds = 60;
+const settleSeconds = 60;
+const measuredSeconds = 10;
+const withdrawalLimitSeconds = 20;
+/** Share of nodes whose load moves each second by more than gossip lets pass. */
+const movingShare = 0.1;
+const servicesInDomain = 10;
+const deepestReplies = 20;
+/** Bytes that HTTP/2 and gRPC frames add to a message and its acknowledgement. */
+const frameBytes = 120;
+const seedsOfNode = 3;
+
+/** Moves the virtual time of a fleet and carries its messages. */
+class Fleet {
+	now = 0;
+	messages = 0;
+	readonly members = new Map<string, Member>();
+	readonly #random: SeededRandom;
+	#inFlight: MembershipMessage[] = [];
+
+	constructor(size: FleetSize, seed: number) {
+		this.#random = new SeededRandom(seed);
+		const configuration = createConfiguration(size);
+		for (const domain of configuration.domains.keys()) {
+			for (let index = 0; index < size.nodesInDomain; index += 1) {
+				this.#start(domain, index, configuration);
+			}
+		}
+	}
+
+	/** Moves time on until a condition holds; returns the milliseconds that it took, or undefined if they ran out. */
+	runUntil(seconds: number, condition: () => boolean): number | undefined {
+		const start = this.now;
+		while (this.now - start < seconds * millisecondsInSecond) {
+			this.#step();
+			if (condition()) {
+				return this.now - start;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Moves time on, with load that moves at some nodes. */
+	run(seconds: number): void {
+		for (let second = 0; second < seconds; second += 1) {
+			this.#moveLoad();
+			this.runUntil(1, () => false);
+		}
+	}
+
+	take(actions: MembershipActions): void {
+		this.#inFlight.push(...actions.messages);
+	}
+
+	resetCounts(): void {
+		this.messages = 0;
+		for (const member of this.members.values()) {
+			member.bytes = 0;
+		}
+	}
+
+	#step(): void {
+		this.now += stepMilliseconds;
+		for (const {membership} of this.members.values()) {
+			this.take(membership.tick(this.now));
+		}
+
+		for (let round = 0; round < deepestReplies && this.#inFlight.length > 0; round += 1) {
+			const messages = this.#inFlight;
+			this.#inFlight = [];
+			for (const message of messages) {
+				this.#deliver(message);
+			}
+		}
+	}
+
+	#moveLoad(): void {
+		for (const member of this.members.values()) {
+			if (this.#random.nextFraction() >= movingShare) {
+				continue;
+			}
+
+			const level = {
+				inFlight: this.#random.nextInteger(40), limit: 40, queueLength: 0, shedPriority: 10,
+			};
+			member.self = {...member.self, level};
+			this.take(member.membership.describeSelf(member.self, this.now));
+		}
+	}
+
+	#start(domain: FailureDomain, index: number, configuration: Configuration): void {
+		const self = describeNode(domain, index, configuration.revision);
+		const seeds = [...configuration.domains.values()].flatMap(settings => settings.witnesses.slice(0, seedsOfNode)).map(node => addressOf(node));
+		const membership = new GossipMembership({
+			self, seeds: seeds.slice(0, seedsOfNode * 2), randomSeed: this.#random.nextInteger(1e9), incarnation: 1, now: this.now,
+		});
+		this.members.set(self.rpcAddress, {self, membership, bytes: 0});
+		this.take(membership.setConfiguration(configuration, this.now));
+	}
+
+	#deliver(message: MembershipMessage): void {
+		const encoded = encodeMessage(message);
+		const bytes = encoded.byteLength + frameBytes;
+		this.messages += 1;
+		this.#count(message.fromAddress, bytes);
+		this.#count(message.toAddress, bytes);
+		const receiver = this.members.get(message.toAddress);
+		if (receiver !== undefined) {
+			this.take(receiver.membership.receive(decodeMessage(encoded) as MembershipMessage, this.now));
+		}
+	}
+
+	#count(address: string, bytes: number): void {
+		const member = this.members.get(address);
+		if (member !== undefined) {
+			member.bytes += bytes;
+		}
+	}
+}
+
+function addressOf(node: NodeId): string {
+	return `${node}.internal:7102`;
+}
+
+function nameNode(domain: string, index: number): NodeId {
+	return createNodeId(`node-${domain}-${index}`);
+}
+
+function describeNode(domain: FailureDomain, index: number, revision: Revision): SelfDescription {
+	const node = nameNode(domain, index);
+	const service = createServiceName(`service-${index % servicesInDomain}`);
+	const rpcAddress = addressOf(node);
+	const gateUrl = `http://${node}.internal:7101`;
+	return {
+		node,
+		domain,
+		rpcAddress,
+		gateUrl,
+		leaving: false,
+		revision,
+		target: {
+			upstream: createUpstreamId(service, node), service, node, domain, gateUrl, rpcAddress, available: true, slots: 40,
+		},
+	};
+}
+
+function createConfiguration(size: FleetSize): Configuration {
+	const domains = new Map<FailureDomain, DomainSettings>();
+	for (let index = 0; index < size.domains; index += 1) {
+		const name = createFailureDomain(`domain-${index}`);
+		domains.set(name, {name, weight: 1, witnesses: [0, 1, 2].map(witness => nameNode(name, witness))});
+	}
+
+	return {...emptyConfiguration, revision: 1 as Revision, domains};
+}
+
+function everyMember(fleet: Fleet, holds: (membership: GossipMembership) => boolean): boolean {
+	for (const {membership} of fleet.members.values()) {
+		if (!holds(membership)) {
+			return false;
+		}
+	}
+
+	return true;
+}
+
+/** Measures what membership costs one node in a fleet of a size. */
+export function measureMembership(size: FleetSize, seed: number): MembershipCost {
+	const nodes = size.domains * size.nodesInDomain;
+	const heapBefore = measureHeap();
+	const fleet = new Fleet(size, seed);
+	const joined = fleet.runUntil(joinLimitSeconds, () => everyMember(fleet, membership => membership.members().length === nodes));
+	fleet.run(settleSeconds);
+	const heapBytes = (measureHeap() - heapBefore) / nodes;
+	fleet.resetCounts();
+	const processorTime = startProcessorTime();
+	fleet.run(measuredSeconds);
+	const processorMilliseconds = processorTime();
+	const bytes = [...fleet.members.values()].map(member => member.bytes);
+	const {messages} = fleet;
+	const withdrawalMilliseconds = measureWithdrawal(fleet);
+	return {
+		...size,
+		joinSeconds: joined === undefined ? undefined : joined / millisecondsInSecond,
+		messagesPerSecond: messages / nodes / measuredSeconds,
+		bytesPerSecond: sumOf(bytes) / nodes / measuredSeconds,
+		busiestBytesPerSecond: Math.max(...bytes) / measuredSeconds,
+		processorMillisecondsPerSecond: processorMilliseconds / nodes / measuredSeconds,
+		heapBytes,
+		withdrawalMilliseconds,
+	};
+}
+
+function measureWithdrawal(fleet: Fleet): number | undefined {
+	const key = 'withdrawn-key' as KeyId;
+	const [first] = fleet.members.values();
+	fleet.take(first!.membership.withdrawKeys([key], fleet.now));
+	return fleet.runUntil(withdrawalLimitSeconds, () => everyMember(fleet, membership => membership.withdrawnKeys().has(key)));
+}
+
+function sumOf(values: readonly number[]): number {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return sum;
+}
