--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -5,3 +5,7 @@
 export * from './fleet-runtime/index.js';
 export * from './fleet-runtime-methods/index.js';
 export type * from './types.js';
+export type * from './dependencies.js';
+export * from './control-claims/index.js';
+export * from './create-node/index.js';
+export * from './start-fleet-node/index.js';
