Answer heartbeats while the disk is slow

Cause: every answer waited for the write under way. Disks of a majority that stalled for longer than the election timeout made the leader step down, and the election then waited for the same disks.

Change: an append without entries is answered at once with what is synced by then; answers to entries still wait for their sync.

Conclusion: a slow disk delays commitment, not leadership.

--- a/packages/consensus/src/_lib/follower-role.ts
+++ b/packages/consensus/src/_lib/follower-role.ts
@@ -5,7 +5,7 @@
 import type {MemberId} from '@fireflyglade/model';
 import type {LogEntry, Snapshot} from '../types.js';
 import type {MemberState} from './member-state.js';
-import type {AppendPayload, SnapshotChunk} from './payload.js';
+import type {AppendPayload, AppendResponse, SnapshotChunk} from './payload.js';
 
 type IncomingSnapshot = {
 	readonly term: number;
@@ -40,9 +40,16 @@
 		const lastEqualIndex = previousIndex + entries.length;
 		this.#state.commitTo(Math.min(append.commitIndex, lastEqualIndex));
 		this.#state.applyCommitted();
-		durability.sendDurable(leader, {
+		const response: AppendResponse = {
 			kind: 'append-response', term, accepted: true, index: lastEqualIndex, hintIndex: 0, hintTerm: 0, round: append.round, disk: this.#state.disk,
-		});
+		};
+		if (entries.length > 0) {
+			durability.sendDurable(leader, response);
+			return;
+		}
+
+		// A heartbeat is answered even while the disk is slow, with what is synced by now.
+		durability.sendNow(leader, {...response, index: Math.min(lastEqualIndex, durability.stableIndex)});
 	}
 
 	/** Takes a piece of a snapshot and answers it. */
--- a/packages/consensus/src/raft-consensus/test.ts
+++ b/packages/consensus/src/raft-consensus/test.ts
@@ -190,6 +190,23 @@
 		expect(propose({voters, learners: []})).to.deep.equal({kind: 'members-refused', reason: 'change-pending'});
 	});
 
+	it('keeps its leader while the disks of all followers are slow', () => {
+		const set = createSet(3);
+		const leader = leaderOf(set);
+		const {term} = statusOf(leader);
+		set.propose(leader, 'c1');
+		for (let number = 0; number < 100; number++) {
+			set.round({
+				kind: 'round', milliseconds: 25, seed: number, lossPercent: 0, delayPercent: 0, duplicatePercent: 0, slowDiskPercent: 100,
+			});
+		}
+
+		expect(statusOf(leader)).to.include({role: 'leader', term});
+		expect(set.history.endedWrites).to.equal(0);
+		set.runCalm(10);
+		expect(set.history.endedWrites).to.equal(1);
+	});
+
 	it('hands leadership over without waiting for a timeout', () => {
 		const set = createSet(3);
 		const old = leaderOf(set);
