Test the callers' path for bad input, streams, breaks and shutdown

Cancelling a call threw, as the running attempt was cleared first: a caller that went away would have ended the daemon. The attempt is now kept until it is cancelled, and a listener answers a problem if its handler throws.

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -121,10 +121,9 @@
 
 		this.#isDone = true;
 		this.#retryTimer?.cancel();
-		if (this.#running !== undefined) {
-			this.#endAttempt({kind: 'cancelled'});
-			this.#running.cancel();
-		}
+		const running = this.#running;
+		this.#endAttempt({kind: 'cancelled'});
+		running?.cancel();
 	}
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
--- /dev/null
+++ b/packages/node/src/_lib/call-server/test.ts
@@ -0,0 +1,179 @@
+import {expect} from 'chai';
+import * as fc from 'fast-check';
+import {request} from 'undici';
+import type {KeyId} from '@fireflyglade/model';
+import {
+	blue, createRoute, exchangeRaw, secretOfRed, TestFleet,
+	type ReceivedRequest, type RecordingUpstream,
+} from '../../test-support/index.js';
+import type {RunningNode} from '../../create-node/index.js';
+
+type ProblemBody = {readonly code: string; readonly outcome: string};
+
+const authorization = `Bearer ${secretOfRed}`;
+const goodHead = `Host: a\r\nAuthorization: ${authorization}\r\nConnection: close\r\n`;
+
+describe('CallServer', () => {
+	let fleet: TestFleet;
+	let node: RunningNode;
+	let upstream: RecordingUpstream;
+
+	before(async () => {
+		fleet = new TestFleet([
+			createRoute('GET', '/orders/:id'),
+			createRoute('POST', '/orders'),
+			createRoute('GET', '/blue', {teams: [blue]}),
+			createRoute('GET', '/fresh', {whenCutOff: 'refuse'}),
+			createRoute('GET', '/open', {open: true}),
+		]);
+		node = await fleet.startNode('a');
+		upstream = await fleet.startUpstream(node);
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	beforeEach(() => {
+		upstream.received.length = 0;
+	});
+
+	async function call(path: string, options: {readonly method?: string; readonly headers?: Record<string, string>; readonly body?: string} = {}): Promise<{readonly status: number; readonly problem: ProblemBody; readonly headers: Record<string, unknown>}> {
+		const answer = await request(`http://${node.addresses.callers}${path}`, {method: 'GET', headers: {authorization}, ...options});
+		const text = await answer.body.text();
+		return {status: answer.statusCode, problem: JSON.parse(text === '' ? '{}' : text) as ProblemBody, headers: answer.headers};
+	}
+
+	for (const [name, path, options, status, code] of [
+		['no key', '/orders/1', {headers: {}}, 401, 'key-missing'],
+		['an unknown key', '/orders/1', {headers: {authorization: 'Bearer wrong-key-0123'}}, 401, 'key-unknown'],
+		['another scheme than Bearer', '/orders/1', {headers: {authorization: `Basic ${secretOfRed}`}}, 401, 'key-unknown'],
+		['the route of another team', '/blue', {}, 403, 'route-forbidden'],
+		['a path without a route', '/nothing', {}, 404, 'route-not-found'],
+		['a method without a route', '/orders/1', {method: 'DELETE'}, 405, 'method-not-allowed'],
+		['a key in the query', `/orders/1?key=${secretOfRed}`, {}, 400, 'bad-request'],
+		['an escaped key in the query', `/orders/1?key=%${secretOfRed.codePointAt(0)!.toString(16)}${secretOfRed.slice(1)}`, {}, 400, 'bad-request'],
+		['an escaped letter in the path', '/%6frders/1', {}, 400, 'bad-request'],
+		['a path that is too long', `/orders/${'x'.repeat(3000)}`, {}, 414, 'path-too-long'],
+		['a timeout that is no number', '/orders/1', {headers: {authorization, 'fireflyglade-timeout-ms': '1.5'}}, 400, 'bad-request'],
+		['a body that is too large', '/orders', {method: 'POST', body: 'x'.repeat(1_000_001)}, 413, 'body-too-large'],
+	] as const) {
+		it(`refuses ${name} with ${status} ${code}`, async () => {
+			const answer = await call(path, options);
+			expect(answer.status).to.equal(status);
+			expect(answer.problem).to.include({code, outcome: 'not-run'});
+			expect(answer.headers).to.include({'fireflyglade-outcome': 'not-run', 'content-type': 'application/problem+json'});
+			expect(upstream.received).to.have.length(0);
+		});
+	}
+
+	for (const [name, text, status] of [
+		['both lengths', `POST /orders HTTP/1.1\r\n${goodHead}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`, 400],
+		['two lengths that differ', `POST /orders HTTP/1.1\r\n${goodHead}Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde`, 400],
+		['a coding besides chunked', `POST /orders HTTP/1.1\r\n${goodHead}Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n`, 400],
+		['a coding that is not last', `POST /orders HTTP/1.1\r\n${goodHead}Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n`, 400],
+		['a signed length', `POST /orders HTTP/1.1\r\n${goodHead}Content-Length: +4\r\n\r\nabcd`, 400],
+		['a space before the colon', `POST /orders HTTP/1.1\r\n${goodHead}Content-Length : 4\r\n\r\nabcd`, 400],
+		['an escaped dot segment', `GET /orders/%2e%2e/open HTTP/1.1\r\n${goodHead}\r\n`, 400],
+		['a dot segment', `GET /orders/../open HTTP/1.1\r\n${goodHead}\r\n`, 400],
+		['an escape cut short', `GET /orders/%4 HTTP/1.1\r\n${goodHead}\r\n`, 400],
+		['no host', 'GET /open HTTP/1.1\r\nConnection: close\r\n\r\n', 400],
+		['two hosts', 'GET /open HTTP/1.1\r\nHost: a\r\nHost: b\r\nConnection: close\r\n\r\n', 400],
+		['two keys', `GET /orders/1 HTTP/1.1\r\n${goodHead}Authorization: Bearer other\r\n\r\n`, 400],
+		['a target with a host', 'GET http://a/open HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n', 400],
+		['header fields that are too large', `GET /open HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(20_000)}\r\nConnection: close\r\n\r\n`, 431],
+		['another expectation', `POST /orders HTTP/1.1\r\n${goodHead}Expect: 200-ok\r\nContent-Length: 0\r\n\r\n`, 417],
+	] as const) {
+		it(`refuses ${name} with ${status}`, async () => {
+			const answer = await exchangeRaw(node.addresses.callers, text);
+			expect(answer).to.match(new RegExp(String.raw`^HTTP/1\.1 ${status} `));
+			expect(answer).to.include('fireflyglade-outcome: not-run');
+			expect(upstream.received).to.have.length(0);
+		});
+	}
+
+	it('survives any bytes and never runs a request without a key', async () => {
+		await fc.assert(fc.asyncProperty(fc.string({maxLength: 60}), fc.string({maxLength: 60}), async (line, field) => {
+			await exchangeRaw(node.addresses.callers, `GET /orders/1${line} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n${field}\r\n\r\n`);
+			expect(upstream.received).to.have.length(0);
+		}), {seed: 1, numRuns: 60});
+		const answer = await call('/orders/1');
+		expect(answer.status).to.equal(200);
+	});
+
+	it('drops every forged field of the system, in any case of letters', async () => {
+		const name = fc.constantFrom('fireflyglade-team', 'FireflyGlade-Team', 'fireflyglade-context', 'FIREFLYGLADE-CALL', 'fireflyglade-fleet-token', 'fireflyglade-anything', 'Connection');
+		await fc.assert(fc.asyncProperty(name, fc.constantFrom('blue', 'forged', 'fireflyglade-team', 'x-listed'), async (field, value) => {
+			const answer = await call('/orders/1', {headers: {authorization, 'x-listed': 'yes', ...(field === 'Connection' ? {} : {[field]: value})}});
+			const received = answer.problem as unknown as ReceivedRequest;
+			expect(received.headers['fireflyglade-team']).to.equal('red');
+			expect(JSON.stringify(received.headers)).not.to.include('forged');
+			expect(JSON.stringify(received)).not.to.include(secretOfRed);
+		}), {seed: 2, numRuns: 30});
+	});
+
+	it('drops the fields that Connection names', async () => {
+		const answer = await exchangeRaw(node.addresses.callers, `GET /orders/1 HTTP/1.1\r\n${goodHead.replace('Connection: close', 'Connection: close, x-listed, fireflyglade-team')}X-Listed: yes\r\nTE: trailers\r\nUpgrade: h2c\r\n\r\n`);
+		expect(answer).to.match(/^HTTP\/1\.1 200 /);
+		expect(upstream.received[0]!.headers).not.to.have.any.keys('x-listed', 'te', 'upgrade');
+		expect(upstream.received[0]!.headers['fireflyglade-team']).to.equal('red');
+	});
+
+	it('refuses a withdrawn key on a connection that is open', async () => {
+		expect((await call('/orders/1')).status).to.equal(200);
+		fleet.shared.withdrawn.add('key-red' as KeyId);
+		expect((await call('/orders/1')).problem.code).to.equal('key-unknown');
+		expect((await call('/open')).status).to.equal(200);
+		fleet.shared.withdrawn.clear();
+	});
+
+	it('refuses a team over its rate and says when to come again', async () => {
+		fleet.shared.chargeOutcome = {kind: 'refused', retryAfterMilliseconds: 1500};
+		const answer = await call('/orders/1');
+		fleet.shared.chargeOutcome = {kind: 'admitted'};
+		expect(answer.status).to.equal(429);
+		expect(answer.headers['retry-after']).to.equal('2');
+	});
+
+	it('serves or refuses keyed routes of a domain that is cut off, as the route says', async () => {
+		fleet.shared.connectivity = {kind: 'cut-off', since: performance.now() - 6000};
+		expect((await call('/orders/1')).status).to.equal(200);
+		expect((await call('/fresh')).problem.code).to.equal('cut-off');
+		fleet.shared.connectivity = {kind: 'cut-off', since: performance.now()};
+		expect((await call('/fresh')).status).to.equal(200);
+		fleet.shared.connectivity = {kind: 'connected'};
+	});
+
+	it('gives a token back once if no capacity was there, and settles it otherwise', async () => {
+		fleet.shared.refunded.length = 0;
+		fleet.shared.settled.length = 0;
+		upstream.received.length = 0;
+		const target = fleet.shared.targets.get('a')!;
+		fleet.shared.targets.clear();
+		fleet.shared.notify();
+		expect((await call('/orders/1')).problem.code).to.equal('no-upstream');
+		expect(fleet.shared.refunded).to.have.length(1);
+		fleet.shared.targets.set('a', target);
+		fleet.shared.notify();
+		expect((await call('/orders/1')).status).to.equal(200);
+		expect(fleet.shared.settled).to.have.length(1);
+	});
+
+	it('meets the expectation 100-continue only after its checks', async () => {
+		const refused = await exchangeRaw(node.addresses.callers, 'POST /orders HTTP/1.1\r\nHost: a\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n');
+		expect(refused).to.match(/^HTTP\/1\.1 401 /);
+		const served = await exchangeRaw(node.addresses.callers, `POST /orders HTTP/1.1\r\n${goodHead}Expect: 100-continue\r\nContent-Length: 4\r\n\r\nwood`);
+		expect(served).to.match(/^HTTP\/1\.1 100 Continue\r\n\r\nHTTP\/1\.1 200 /);
+		expect(upstream.received[0]!.body).to.equal('wood');
+	});
+
+	it('refuses connections beyond the bound with an answer', async () => {
+		const small = await fleet.startNode('small', {}, {
+			limits: {
+				maximumHeaderBytes: 16_384, maximumBodyBytes: 1000, maximumPathBytes: 2048, maximumConnections: 0,
+			},
+		});
+		const answer = await exchangeRaw(small.addresses.callers, 'GET /open HTTP/1.1\r\nHost: a\r\n\r\n');
+		expect(answer).to.match(/^HTTP\/1\.1 503 /);
+	});
+});
--- a/packages/node/src/create-node/test.ts
+++ b/packages/node/src/create-node/test.ts
@@ -1,11 +1,236 @@
+import {once} from 'node:events';
+import {request as nodeRequest, type IncomingMessage} from 'node:http';
+import {PassThrough, Readable} from 'node:stream';
 import {expect} from 'chai';
 import {request} from 'undici';
 import {
-	createRoute, secretOfRed, TestFleet,
-	type ReceivedRequest,
+	answerReceived, announce, createRoute, exchangeRaw, fleetToken, secretOfRed, TestFleet, waitUntil,
+	type ReceivedRequest, type RecordingUpstream,
 } from '../test-support/index.js';
+import type {RunningNode} from './index.js';
 
 const authorization = `Bearer ${secretOfRed}`;
+const mebibyte = 1_048_576;
+
+/** Sends a request whose answer is looked at piece by piece. */
+async function open(node: RunningNode, path: string, method = 'GET'): Promise<IncomingMessage> {
+	const sent = nodeRequest(`http://${node.addresses.callers}${path}`, {method, headers: {authorization}});
+	sent.on('error', ignoreBrokenConnection);
+	sent.end();
+	const [answer] = await once(sent, 'response') as [IncomingMessage];
+	return answer;
+}
+
+function ignoreBrokenConnection(): void {
+	// The break is looked for at the answer.
+}
+
+async function readText(answer: IncomingMessage): Promise<string> {
+	let text = '';
+	for await (const chunk of answer) {
+		text += String(chunk);
+	}
+
+	return text;
+}
+
+for (const hops of [1, 2] as const) {
+	describe(`createNode, calls over ${hops} node(s)`, () => {
+		let fleet: TestFleet;
+		let entry: RunningNode;
+		let upstream: RecordingUpstream;
+
+		before(async () => {
+			fleet = new TestFleet([
+				createRoute('GET', '/orders/:id'),
+				createRoute('POST', '/orders', {retryLimit: 0}),
+				createRoute('GET', '/open', {open: true}),
+			]);
+			entry = await fleet.startNode('a');
+			upstream = await fleet.startUpstream(hops === 1 ? entry : await fleet.startNode('b'));
+		});
+
+		beforeEach(() => {
+			upstream.handler = answerReceived;
+			upstream.received.length = 0;
+		});
+
+		after(async () => {
+			await fleet.stop();
+		});
+
+		it('passes method, path, query and body on, and no secret', async () => {
+			const answer = await request(`http://${entry.addresses.callers}/orders?x=%20y`, {
+				method: 'POST', headers: {authorization, 'x-copy': `a ${secretOfRed} b`, cookie: `key=${secretOfRed}`}, body: 'wood',
+			});
+			const received = await answer.body.json() as ReceivedRequest;
+			expect(received).to.include({method: 'POST', path: '/orders?x=%20y', body: 'wood'});
+			expect(received.headers).to.include({'fireflyglade-team': 'red', 'content-length': '4'});
+			expect(received.headers['fireflyglade-context']).to.match(/^[\da-f-]{36}$/);
+			expect(received.headers).not.to.have.any.keys('fireflyglade-fleet-token', 'fireflyglade-call', 'authorization');
+			expect(JSON.stringify(received)).not.to.include(secretOfRed).and.not.to.include(fleetToken);
+			expect(Object.keys(answer.headers).filter(name => name.startsWith('fireflyglade-'))).to.deep.equal([]);
+		});
+
+		it('streams a large body both ways, whole', async () => {
+			const size = 8 * mebibyte;
+			upstream.handler = (message, response) => {
+				response.writeHead(200);
+				message.pipe(response);
+			};
+
+			const small = Buffer.alloc(65_536, 'x');
+			const body = Readable.from((function * () {
+				for (let sent = 0; sent < size; sent += small.length) {
+					yield small;
+				}
+			})(), {objectMode: false});
+			const large = await fleet.startNode(`large-${hops}`, {}, {
+				limits: {
+					maximumHeaderBytes: 16_384, maximumBodyBytes: 2 * size, maximumPathBytes: 2048, maximumConnections: 100,
+				},
+			});
+			const answer = await request(`http://${large.addresses.callers}/orders`, {method: 'POST', headers: {authorization}, body});
+			let bytes = 0;
+			for await (const chunk of answer.body) {
+				bytes += (chunk as Uint8Array).byteLength;
+			}
+
+			expect(bytes).to.equal(size);
+		});
+
+		it('holds the upstream back while the caller does not read', async () => {
+			let written = 0;
+			const chunk = Buffer.alloc(65_536);
+			upstream.handler = (_message, response) => {
+				response.writeHead(200);
+				const write = (): void => {
+					while (written < 64 * mebibyte && response.write(chunk)) {
+						written += chunk.length;
+					}
+				};
+
+				response.on('drain', write);
+				write();
+			};
+
+			const answer = await open(entry, '/orders/1');
+			let last = -1;
+			await new Promise<void>(resolve => {
+				const timer = setInterval(() => {
+					if (written === last) {
+						clearInterval(timer);
+						resolve();
+					}
+
+					last = written;
+				}, 200);
+			});
+			expect(written).to.be.below(32 * mebibyte);
+			answer.destroy();
+			await waitUntil(() => upstream.received[0]!.isCancelled);
+		});
+
+		for (const framing of ['chunked', 'length', 'close'] as const) {
+			it(`resets the caller when an answer framed by ${framing} breaks midway`, async () => {
+				upstream.handler = (_message, response) => {
+					response.writeHead(200, {
+						...(framing === 'length' ? {'content-length': 1000} : {}),
+						...(framing === 'close' ? {connection: 'close'} : {}),
+					});
+					response.write('the first part', () => {
+						response.socket!.end();
+					});
+				};
+
+				const answer = await open(entry, '/orders/1');
+				let failure: unknown;
+				try {
+					await readText(answer);
+				} catch (error) {
+					failure = error;
+				}
+
+				expect(failure).to.be.an('error');
+				expect(answer.complete).to.equal(false);
+			});
+		}
+
+		it('cancels the upstream when the caller goes away', async () => {
+			upstream.handler = message => {
+				message.resume();
+			};
+
+			const sent = nodeRequest(`http://${entry.addresses.callers}/orders/1`, {headers: {authorization}});
+			sent.on('error', ignoreBrokenConnection);
+			sent.end();
+			await waitUntil(() => upstream.received.length === 1);
+			sent.destroy();
+			await waitUntil(() => upstream.received[0]!.isCancelled);
+		});
+
+		it('answers HEAD without a body and with the length', async () => {
+			upstream.handler = (message, response) => {
+				message.resume();
+				response.writeHead(200, {'content-length': 1234});
+				response.end();
+			};
+
+			const answer = await open(entry, '/orders/1', 'HEAD');
+			expect(answer.headers['content-length']).to.equal('1234');
+			expect(await readText(answer)).to.equal('');
+		});
+
+		it('passes trailers and answers without a body on', async () => {
+			upstream.handler = (message, response) => {
+				message.resume();
+				response.writeHead(200, {trailer: 'x-sum'});
+				response.write('part');
+				response.addTrailers({'x-sum': '42', 'fireflyglade-forged': '1'});
+				response.end();
+			};
+
+			const answer = await open(entry, '/orders/1');
+			expect(await readText(answer)).to.equal('part');
+			expect(answer.trailers).to.deep.equal({'x-sum': '42'});
+			upstream.handler = (message, response) => {
+				message.resume();
+				response.writeHead(204);
+				response.end();
+			};
+
+			const empty = await open(entry, '/orders/1');
+			expect(empty.statusCode).to.equal(204);
+			expect(await readText(empty)).to.equal('');
+		});
+
+		it('ends a call at its deadline and says that the outcome is unknown', async () => {
+			upstream.handler = message => {
+				message.resume();
+			};
+
+			const answer = await request(`http://${entry.addresses.callers}/orders`, {method: 'POST', headers: {authorization, 'fireflyglade-timeout-ms': '100'}, body: 'x'});
+			expect(answer.statusCode).to.equal(504);
+			expect(await answer.body.json()).to.include({code: 'deadline-exceeded', outcome: 'unknown'});
+			await waitUntil(() => upstream.received[0]!.isCancelled);
+		});
+
+		it('keeps answers of many calls at once apart', async () => {
+			upstream.handler = (message, response) => {
+				message.resume();
+				setTimeout(() => {
+					response.end(message.url);
+				}, Math.floor(Number(message.url!.split('/')[2]) * 7 % 40));
+			};
+
+			const answers = await Promise.all(Array.from({length: 200}, async (_, index) => {
+				const answer = await request(`http://${entry.addresses.callers}/orders/${index}`, {headers: {authorization}});
+				return answer.body.text();
+			}));
+			expect(answers).to.deep.equal(Array.from({length: 200}, (_, index) => `/orders/${index}`));
+		});
+	});
+}
 
 describe('createNode', () => {
 	let fleet: TestFleet;
@@ -13,8 +238,7 @@
 	beforeEach(() => {
 		fleet = new TestFleet([
 			createRoute('GET', '/orders/:id'),
-			createRoute('POST', '/orders'),
-			createRoute('GET', '/open', {open: true}),
+			createRoute('POST', '/orders', {retryLimit: 0}),
 		]);
 	});
 
@@ -22,27 +246,84 @@
 		await fleet.stop();
 	});
 
-	it('passes a call through its own gate and strips the key', async () => {
+	it('refuses strangers at the gate, whatever they show', async () => {
 		const node = await fleet.startNode('a');
-		await fleet.startUpstream(node);
-		const answer = await request(`http://${node.addresses.callers}/orders/1?x=2`, {headers: {authorization, 'fireflyglade-team': 'blue', 'x-copy': secretOfRed}});
-		expect(answer.statusCode).to.equal(200);
-		const received = await answer.body.json() as ReceivedRequest;
-		expect(received.path).to.equal('/orders/1?x=2');
-		expect(received.headers['fireflyglade-team']).to.equal('red');
-		expect(JSON.stringify(received)).not.to.include(secretOfRed);
-		expect(answer.headers).not.to.have.any.keys('fireflyglade-level', 'fireflyglade-retries-left');
+		const upstream = await fleet.startUpstream(node);
+		const call = 'fireflyglade-call: r.1 r - 0 1000 1 0 1 - -\r\n';
+		for (const field of ['', `Authorization: ${authorization}\r\n`, 'fireflyglade-fleet-token: wrong\r\n', `fireflyglade-fleet-token: ${fleetToken}x\r\n`]) {
+			const answer = await exchangeRaw(node.addresses.gate, `GET /orders/1 HTTP/1.1\r\nHost: a\r\n${call}${field}\r\n`);
+			expect(answer).to.match(/^HTTP\/1\.1 403 /);
+		}
+
+		const malformed = await exchangeRaw(node.addresses.gate, `GET /orders/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\nfireflyglade-fleet-token: ${fleetToken}\r\nfireflyglade-call: r\r\n\r\n`);
+		expect(malformed).to.match(/^HTTP\/1\.1 400 /);
+		expect(upstream.received).to.have.length(0);
 	});
 
-	it('passes a call with a body through the gate of another node', async () => {
-		const entry = await fleet.startNode('a');
-		const gate = await fleet.startNode('b');
+	it('refuses announcements that are malformed', async () => {
+		const node = await fleet.startNode('a');
+		expect(await announce(node, {service: 'orders', address: 'nowhere', slots: 3})).to.equal(400);
+		expect(await announce(node, {service: 'orders', address: '127.0.0.1:80', slots: 0})).to.equal(400);
+		expect(await announce(node, {service: '-', address: '127.0.0.1:80', slots: 3})).to.equal(400);
+		expect(fleet.shared.targets.size).to.equal(0);
+	});
+
+	it('ends new work when an upstream leaves, and lets running work finish', async () => {
+		const node = await fleet.startNode('a');
+		const upstream = await fleet.startUpstream(node);
+		const stream = new PassThrough();
+		upstream.handler = (message, response) => {
+			message.resume();
+			stream.pipe(response);
+		};
+
+		const answer = open(node, '/orders/1');
+		await waitUntil(() => upstream.received.length === 1);
+		await request(`http://${node.addresses.announce}/announce`, {method: 'DELETE'});
+		const refused = await request(`http://${node.addresses.callers}/orders/2`, {headers: {authorization}});
+		expect(await refused.body.json()).to.include({code: 'no-upstream', outcome: 'not-run'});
+		stream.end('whole');
+		expect(await readText(await answer)).to.equal('whole');
+	});
+
+	it('stops gracefully with 200 requests in flight, streams among them, and cuts none', async () => {
+		const entry = await fleet.startNode('a', {}, {shutdownTimeoutMilliseconds: 5000});
+		const gate = await fleet.startNode('b', {}, {shutdownTimeoutMilliseconds: 5000});
 		const upstream = await fleet.startUpstream(gate);
-		const answer = await request(`http://${entry.addresses.callers}/orders`, {method: 'POST', headers: {authorization}, body: 'wood'});
-		const received = await answer.body.json() as ReceivedRequest;
-		expect(received.body).to.equal('wood');
-		expect(received.headers['fireflyglade-team']).to.equal('red');
-		expect(received.headers).not.to.have.any.keys('fireflyglade-fleet-token', 'fireflyglade-call');
-		expect(upstream.received).to.have.length(1);
+		const spare = await fleet.startNode('c');
+		const release: Array<() => void> = [];
+		upstream.handler = (message, response) => {
+			message.resume();
+			if (message.url!.endsWith('0')) {
+				response.write('first ');
+			}
+
+			release.push(() => {
+				response.end('last');
+			});
+		};
+
+		const running = Array.from({length: 200}, async (_, index) => {
+			const answer = await request(`http://${entry.addresses.callers}/orders/${index}`, {headers: {authorization}});
+			return answer.body.text();
+		});
+		await waitUntil(() => release.length === 200);
+		const spareUpstream = await fleet.startUpstream(spare);
+		const stopped = Promise.all([entry.stop(), gate.stop()]);
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, 100);
+		});
+		const other = await request(`http://${spare.addresses.callers}/orders/9`, {headers: {authorization}});
+		expect(other.statusCode).to.equal(200);
+		expect(spareUpstream.received).to.have.length(1);
+		for (const end of release) {
+			end();
+		}
+
+		const texts = await Promise.all(running);
+		expect(texts.filter(text => text === 'last')).to.have.length(180);
+		expect(texts.filter(text => text === 'first last')).to.have.length(20);
+		await stopped;
+		expect(fleet.observer.finished.every(finished => finished.whole)).to.equal(true);
 	});
 });
--- a/packages/node/src/test-support/index.ts
+++ b/packages/node/src/test-support/index.ts
@@ -7,18 +7,21 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
 import {GateAdmission} from '@fireflyglade/admission';
 import type {Connectivity} from '@fireflyglade/membership';
 import {
-	createFailureDomain, createNodeId, createRouteId, createServiceName, createTeamName, emptyConfiguration, SeededRandom, SystemClock,
+	createFailureDomain, createNodeId, createRouteId, createServiceName, createTeamName, emptyConfiguration, InvalidInputError, SeededRandom, SystemClock,
 	type Configuration, type Key, type KeyDigest, type KeyId, type RequestId, type Revision, type Route, type Target, type Team, type TeamName,
 } from '@fireflyglade/model';
 import type {ChargeOutcome} from '@fireflyglade/rates';
 import {NodeRetryBudget, TargetRouting} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import type {ClaimOutcome, ClaimRequest, ClaimResult} from '@fireflyglade/state';
-import type {OutcomeAnswer, OutcomeQuestion, TeamFigures} from '@fireflyglade/transport';
+import {
+	parseAddress,
+	type OutcomeAnswer, type OutcomeQuestion, type TeamFigures,
+} from '@fireflyglade/transport';
 import {request} from 'undici';
 import {createNode, type RunningNode} from '../create-node/index.js';
 import type {
@@ -198,7 +201,7 @@
 		limits: {
 			maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000_000, maximumPathBytes: 2048, maximumConnections: 1000,
 		},
-		shutdownTimeoutMilliseconds: 4000,
+		shutdownTimeoutMilliseconds: 200,
 		log: {level: 'error', format: 'json'},
 		...change,
 	};
@@ -367,3 +370,29 @@
 		});
 	}
 }
+
+/** Writes raw bytes to a listener and returns all that it answers before it closes. */
+export async function exchangeRaw(address: string, text: string): Promise<string> {
+	const {host, port} = parseAddress(address);
+	return new Promise((resolve, reject) => {
+		const socket = connect(port, host);
+		let answer = '';
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			answer += chunk;
+		});
+		socket.on('error', () => {
+			resolve(answer);
+		});
+		socket.on('close', () => {
+			resolve(answer);
+		});
+		socket.on('connect', () => {
+			socket.write(text, 'latin1');
+		});
+		socket.setTimeout(3000, () => {
+			socket.destroy();
+			reject(new InvalidInputError(`the listener neither answered nor closed; so far: ${answer}`));
+		});
+	});
+}
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -116,7 +116,11 @@
 			response.shouldKeepAlive = false;
 		}
 
-		handler(request, response);
+		try {
+			handler(request, response);
+		} catch {
+			writeProblem(response, {code: 'internal', outcome: 'unknown', detail: 'the node failed at this request'});
+		}
 	}
 
 	#admitConnection(socket: Socket): void {
