--- a/packages/scenario/src/bench/capacity/fit-line/index.ts
+++ b/packages/scenario/src/bench/capacity/fit-line/index.ts
@@ -38,6 +38,18 @@
 	return {intercept: meanValue - (slope * meanSize), slope, fit};
 }
 
+/** Fits the slope of a straight line through the origin. */
+export function fitSlope(points: readonly Point[]): number {
+	let squares = 0;
+	let products = 0;
+	for (const {size, value} of points) {
+		squares += size * size;
+		products += size * value;
+	}
+
+	return products / squares;
+}
+
 /** The value of a line at a size. */
 export function valueAt(line: Line, size: number): number {
 	return line.intercept + (line.slope * size);
