--- /dev/null
+++ b/packages/scenario/src/daemon-fleet/index.ts
@@ -0,0 +1,290 @@
+/**
+A fleet of real daemons on loopback: control processes, nodes, and a stand-in
+upstream beside each node. Tests and benches start it; the daemons themselves
+start no process.
+*/
+
+import {randomUUID} from 'node:crypto';
+import {once} from 'node:events';
+import {mkdir, writeFile} from 'node:fs/promises';
+import {createServer, type AddressInfo} from 'node:net';
+import path from 'node:path';
+import {setTimeout as wait} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import type {StatementAnswer, StatementErrorAnswer} from '@fireflyglade/language';
+import {DaemonProcess} from '../daemon-process/index.js';
+import {StandInUpstream, type StandInUpstreamOptions} from '../stand-in-upstream/index.js';
+
+/** A node of the fleet and the stand-in beside it. */
+export type FleetNodePlan = {
+	readonly node: string;
+	readonly domain: string;
+	readonly service: string;
+	readonly upstream?: Pick<StandInUpstreamOptions, 'slots' | 'serviceMilliseconds' | 'calls'>;
+};
+
+/** Options of a fleet of daemons. */
+export type DaemonFleetOptions = {
+	/** Folder for settings and data. */
+	readonly folder: string;
+	/** Number of control processes. */
+	readonly control: number;
+	readonly nodes: readonly FleetNodePlan[];
+};
+
+/** A node daemon with its stand-in. */
+export type NodeDaemon = {
+	readonly plan: FleetNodePlan;
+	readonly daemon: DaemonProcess;
+	readonly callersUrl: string;
+	readonly upstream: StandInUpstream;
+};
+
+/** A control daemon. */
+export type ControlDaemon = {
+	readonly name: string;
+	readonly daemon: DaemonProcess;
+	readonly operatorUrl: string;
+};
+
+/** What a statement was answered with. */
+export type StatementOutcome =
+	| {readonly kind: 'answered'; readonly answer: StatementAnswer}
+	| {readonly kind: 'refused'; readonly status: number; readonly error: StatementErrorAnswer['error']};
+
+const loopback = '127.0.0.1';
+const operatorToken = 'operator-token-of-the-daemon-fleet';
+const fleetToken = 'fleet-token-of-the-daemon-fleet';
+const portsOfNode = 6;
+const portsOfControl = 2;
+const statementTimeoutMilliseconds = 5000;
+const retryPauseMilliseconds = 20;
+
+function programOf(name: 'node' | 'control'): string {
+	return fileURLToPath(new URL(`../../../${name}/dist/main.js`, import.meta.url));
+}
+
+/** Draws ports that are free now; they are bound a moment later. */
+async function drawPorts(count: number): Promise<readonly number[]> {
+	const servers = Array.from({length: count}, () => createServer());
+	const ports: number[] = [];
+	for (const server of servers) {
+		server.listen(0, loopback);
+		await once(server, 'listening');
+		ports.push((server.address() as AddressInfo).port);
+	}
+
+	for (const server of servers) {
+		server.close();
+		await once(server, 'close');
+	}
+
+	return ports;
+}
+
+/** A fleet of real daemons on loopback. */
+export class DaemonFleet {
+	/** Writes the settings and starts every daemon; resolves once all serve. */
+	static async start(options: DaemonFleetOptions): Promise<DaemonFleet> {
+		const fleet = new DaemonFleet(options);
+		await fleet.#writeTokens();
+		await fleet.#startControl();
+		await fleet.#startNodes();
+		return fleet;
+	}
+
+	readonly control: ControlDaemon[] = [];
+	readonly nodes: NodeDaemon[] = [];
+	readonly #options: DaemonFleetOptions;
+	#controlRpc: readonly string[] = [];
+
+	private constructor(options: DaemonFleetOptions) {
+		this.#options = options;
+	}
+
+	/** Sends a statement to one control process, once. */
+	async sendOnce(control: ControlDaemon, statement: string, commandId: string): Promise<StatementOutcome> {
+		const answer = await request(`${control.operatorUrl}/v1/statements`, {
+			method: 'POST',
+			headers: {authorization: `Bearer ${operatorToken}`, 'content-type': 'application/json'},
+			body: JSON.stringify({statement, commandId}),
+			headersTimeout: statementTimeoutMilliseconds,
+			bodyTimeout: statementTimeoutMilliseconds,
+		});
+		const body = await answer.body.json();
+		return answer.statusCode === 200
+			? {kind: 'answered', answer: body as StatementAnswer}
+			: {kind: 'refused', status: answer.statusCode, error: (body as StatementErrorAnswer).error};
+	}
+
+	/** Sends a statement, with the same command id, to one control process after the other until one answers, as the client does. */
+	async send(statement: string, commandId: string = randomUUID()): Promise<StatementOutcome> {
+		for (;;) {
+			for (const control of this.control) {
+				const outcome = await this.#trySend(control, statement, commandId);
+				if (outcome !== undefined) {
+					return outcome;
+				}
+			}
+
+			await wait(retryPauseMilliseconds);
+		}
+	}
+
+	/**
+	Sends a statement that must be accepted.
+
+	@throws {TypeError} It was refused.
+	*/
+	async change(statement: string, commandId?: string): Promise<Extract<StatementAnswer, {kind: 'changed'}>> {
+		const outcome = await this.send(statement, commandId);
+		if (outcome.kind === 'answered' && outcome.answer.kind === 'changed') {
+			return outcome.answer;
+		}
+
+		throw new TypeError(`${statement}: ${JSON.stringify(outcome)}`);
+	}
+
+	/** Creates a team and returns a key of it. */
+	async createTeam(name: string, ratePerSecond: number, burst: number): Promise<string> {
+		await this.change(`create team ${name} rate ${ratePerSecond}/s burst ${burst}`);
+		const {secret} = await this.change(`issue key for team ${name}`);
+		return secret!;
+	}
+
+	/** Sets every failure domain, with its first nodes as witnesses. */
+	async setDomains(): Promise<void> {
+		const domains = new Map<string, string[]>();
+		for (const {plan} of this.nodes) {
+			domains.set(plan.domain, [...domains.get(plan.domain) ?? [], plan.node]);
+		}
+
+		for (const [domain, nodes] of domains) {
+			const witnesses = nodes.slice(0, nodes.length >= 3 ? 3 : 1);
+			await this.change(`set domain ${domain} weight ${nodes.length} witnesses ${witnesses.join(', ')}`);
+		}
+	}
+
+	/** The control process that leads now, as any of them sees it. */
+	async findLeader(): Promise<ControlDaemon> {
+		for (;;) {
+			const outcome = await this.send('show members where leads = true');
+			const rows = outcome.kind === 'answered' && outcome.answer.kind === 'rows' ? outcome.answer.rows : [];
+			const leader = this.control.find(control => control.name === rows[0]?.member);
+			if (leader !== undefined) {
+				return leader;
+			}
+
+			await wait(retryPauseMilliseconds);
+		}
+	}
+
+	/** Ends every process that was started here. */
+	async stop(): Promise<void> {
+		for (const {daemon} of [...this.control, ...this.nodes]) {
+			daemon.signal('SIGCONT');
+		}
+
+		await Promise.all([...this.nodes, ...this.control].map(async ({daemon}) => daemon.end('SIGKILL')));
+		await Promise.all(this.nodes.map(async ({upstream}) => upstream.stop()));
+	}
+
+	get #fleetTokenFile(): string {
+		return path.join(this.#options.folder, 'fleet-token');
+	}
+
+	get #operatorTokenFile(): string {
+		return path.join(this.#options.folder, 'operator-token');
+	}
+
+	async #trySend(control: ControlDaemon, statement: string, commandId: string): Promise<StatementOutcome | undefined> {
+		try {
+			const outcome = await this.sendOnce(control, statement, commandId);
+			return outcome.kind === 'refused' && outcome.status === 503 ? undefined : outcome;
+		} catch {
+			return undefined;
+		}
+	}
+
+	async #writeTokens(): Promise<void> {
+		await mkdir(this.#options.folder, {recursive: true});
+		await writeFile(this.#fleetTokenFile, fleetToken, {mode: 0o600});
+		await writeFile(this.#operatorTokenFile, operatorToken, {mode: 0o600});
+	}
+
+	async #startControl(): Promise<void> {
+		const ports = await drawPorts(this.#options.control * portsOfControl);
+		const names = Array.from({length: this.#options.control}, (_, index) => `control-${index + 1}`);
+		const members = names.map((member, index) => ({member, rpcAddress: `${loopback}:${ports[index * portsOfControl]}`}));
+		this.#controlRpc = members.map(({rpcAddress}) => rpcAddress);
+		for (const [index, name] of names.entries()) {
+			const operatorAddress = `${loopback}:${ports[(index * portsOfControl) + 1]}`;
+			const settingsFile = await this.#writeSettings(name, {
+				member: name,
+				domain: 'control',
+				dataFolder: path.join(this.#options.folder, name),
+				operatorAddress,
+				rpcAddress: members[index]!.rpcAddress,
+				members,
+				operators: [{name: 'test', role: 'operator', tokenFile: this.#operatorTokenFile}],
+			});
+			const operatorUrl = `http://${operatorAddress}`;
+			const daemon = new DaemonProcess({
+				name, program: programOf('control'), settingsFile, readyUrl: `${operatorUrl}/readyz`,
+			});
+			daemon.start();
+			this.control.push({name, daemon, operatorUrl});
+		}
+
+		await Promise.all(this.control.map(async ({daemon}) => daemon.waitUntilReady()));
+	}
+
+	async #startNodes(): Promise<void> {
+		const ports = await drawPorts(this.#options.nodes.length * portsOfNode);
+		const seeds = this.#options.nodes.map((_, index) => `${loopback}:${ports[index * portsOfNode]}`);
+		for (const [index, plan] of this.#options.nodes.entries()) {
+			await this.#startNode(plan, ports.slice(index * portsOfNode, (index + 1) * portsOfNode), seeds);
+		}
+
+		await Promise.all(this.nodes.map(async ({daemon}) => daemon.waitUntilReady()));
+	}
+
+	async #startNode(plan: FleetNodePlan, ports: readonly number[], seeds: readonly string[]): Promise<void> {
+		const [rpcAddress, callersAddress, gateAddress, announceAddress, egressAddress, statusAddress] = ports.map(port => `${loopback}:${port}`);
+		const settingsFile = await this.#writeSettings(plan.node, {
+			node: plan.node,
+			domain: plan.domain,
+			callersAddress,
+			gateAddress,
+			rpcAddress,
+			announceAddress,
+			egressAddress,
+			statusAddress,
+			control: this.#controlRpc,
+			seeds: seeds.filter(seed => seed !== rpcAddress),
+		});
+		const daemon = new DaemonProcess({
+			name: plan.node, program: programOf('node'), settingsFile, readyUrl: `http://${statusAddress}/readyz`,
+		});
+		daemon.start();
+		const upstream = new StandInUpstream({
+			...plan.upstream, service: plan.service, announceUrl: `http://${announceAddress}`, egressUrl: `http://${egressAddress}`,
+		});
+		await upstream.start();
+		this.nodes.push({
+			plan, daemon, callersUrl: `http://${callersAddress}`, upstream,
+		});
+	}
+
+	async #writeSettings(name: string, settings: Readonly<Record<string, unknown>>): Promise<string> {
+		const file = path.join(this.#options.folder, `${name}.jsonc`);
+		await writeFile(file, JSON.stringify({
+			...settings,
+			security: {kind: 'token', tokenFile: this.#fleetTokenFile},
+			log: {level: 'error', format: 'json'},
+			shutdownTimeoutMilliseconds: 10_000,
+		}, undefined, '\t'));
+		return file;
+	}
+}
