--- a/packages/membership/src/_lib/constants.ts
+++ b/packages/membership/src/_lib/constants.ts
@@ -40,6 +40,10 @@
 export const renewalMilliseconds = 500;
 /** Milliseconds between two renewals while the witnesses lag behind the holder's revision. */
 export const hastyRenewalMilliseconds = 50;
+/** Milliseconds after which a candidate without a majority gives its round up. */
+export const roundMilliseconds = 400;
+/** The longest random pause of a candidate after a round that it gave up. */
+export const longestPauseMilliseconds = 400;
 /** Milliseconds by which a candidate stands later than the one before it in order. */
 export const candidacyStepMilliseconds = 200;
 /** Milliseconds for which a candidate of its own clock may use a lease. */
--- a/packages/membership/src/_lib/messages.ts
+++ b/packages/membership/src/_lib/messages.ts
@@ -96,7 +96,8 @@
 	| {readonly kind: 'synchronize'}
 	| {readonly kind: 'state'}
 	| {readonly kind: 'lease-request'; readonly request: LeaseRequest}
-	| {readonly kind: 'lease-vote'; readonly vote: LeaseVote};
+	| {readonly kind: 'lease-vote'; readonly vote: LeaseVote}
+	| {readonly kind: 'lease-release'; readonly role: DomainRole; readonly round: number};
 
 /** A message's payload. */
 export type Payload = {
--- a/packages/membership/src/gossip-membership/index.ts
+++ b/packages/membership/src/gossip-membership/index.ts
@@ -56,7 +56,9 @@
 		this.#knowledge = new Knowledge(options);
 		this.#random = new SeededRandom(randomSeed);
 		this.#detector = new FailureDetector(this.#random, now);
-		this.#office = new RoleOffice(self.node, self.revision, incarnation, now);
+		this.#office = new RoleOffice(self.node, {
+			revision: self.revision, incarnation, random: this.#random, now,
+		});
 		this.#seeds = seeds.filter(seed => seed !== self.rpcAddress);
 		this.#nextGatewayProbeAt = now;
 		this.#nextJoinAt = now;
@@ -263,6 +265,11 @@
 				return;
 			}
 
+			case 'lease-release': {
+				this.#office.receiveRelease(from, body.role, body.round);
+				return;
+			}
+
 			case 'news':
 			case 'state': {
 				return;
--- a/packages/membership/src/gossip-membership/test.ts
+++ b/packages/membership/src/gossip-membership/test.ts
@@ -85,6 +85,17 @@
 		expect(network.runUntil(() => (witness.lease('holder', north, network.now)?.fencing ?? 0) > before.fencing, 4000)).to.be.a('number');
 	});
 
+	it('replaces a dead holder within 4 s though only a bare majority of the witnesses is left and messages are slow', () => {
+		for (let offset = 0; offset < 20; offset++) {
+			const network = startFleet(['north'], 3);
+			network.longestDelaySteps = 2;
+			network.run(6000 + (offset * 50));
+			const [holder] = network.holders(north);
+			network.kill(`${holder!}:1`);
+			expect(network.runUntil(() => network.holders(north).length === 1, 4000), `offset ${offset}`).to.be.a('number');
+		}
+	});
+
 	it('lets the node of a domain of one hold its roles without configured witnesses', () => {
 		const network = new Network();
 		network.start(selfOf('north', 0), ['north-0:1']);
--- a/packages/membership/src/lease-candidate/index.ts
+++ b/packages/membership/src/lease-candidate/index.ts
@@ -9,7 +9,9 @@
 import {
 	type FencingNumber, initialRevision, type NodeId, type Revision,
 } from '@fireflyglade/model';
-import {hastyRenewalMilliseconds, renewalMilliseconds, usableLeaseMilliseconds} from '../_lib/constants.js';
+import {
+	hastyRenewalMilliseconds, renewalMilliseconds, roundMilliseconds, usableLeaseMilliseconds,
+} from '../_lib/constants.js';
 import type {LeaseRequest, LeaseVote} from '../_lib/messages.js';
 import type {DomainRole} from '../types.js';
 
@@ -28,6 +30,7 @@
 	readonly fencing: FencingNumber;
 	readonly sentAt: number;
 	readonly votes: Map<NodeId, Revision>;
+	hasMajority: boolean;
 };
 
 /** Asks for and renews one role's lease. */
@@ -64,13 +67,29 @@
 		this.#roundNumber++;
 		this.#nextRequestAt = now + renewalMilliseconds;
 		this.#round = {
-			number: this.#roundNumber, fencing, sentAt: now, votes: new Map(),
+			number: this.#roundNumber, fencing, sentAt: now, votes: new Map(), hasMajority: false,
 		};
 		return {
 			role: this.#role, candidate: this.#node, fencing, witnesses, round: this.#roundNumber,
 		};
 	}
 
+	/** Gives up a round that got no majority in time and returns its number; its votes no longer count. */
+	abandonRound(now: number): number | undefined {
+		const round = this.#round;
+		if (round === undefined || round.hasMajority || this.lease(now) !== undefined || now - round.sentAt < roundMilliseconds) {
+			return undefined;
+		}
+
+		this.#round = undefined;
+		return round.number;
+	}
+
+	/** Puts the next request off until `at`. */
+	waitUntil(at: number): void {
+		this.#nextRequestAt = at;
+	}
+
 	/** Counts a vote; returns true if the lease began, or went on. */
 	receive(from: NodeId, vote: LeaseVote, witnesses: readonly NodeId[], now: number): boolean {
 		const round = this.#round;
@@ -84,6 +103,7 @@
 			return false;
 		}
 
+		round.hasMajority = true;
 		return this.#take(round, majority, now);
 	}
 
--- a/packages/membership/src/lease-witness/index.ts
+++ b/packages/membership/src/lease-witness/index.ts
@@ -13,6 +13,7 @@
 type Grant = {
 	readonly holder: NodeId;
 	readonly fencing: FencingNumber;
+	readonly round: number;
 	readonly until: number;
 };
 
@@ -53,8 +54,10 @@
 	vote(request: LeaseRequest, agrees: boolean, revision: Revision, now: number): LeaseVote {
 		const granted = agrees && this.#mayGrant(request, now);
 		if (granted) {
-			const {candidate, fencing, role} = request;
-			this.#grants.set(role, {holder: candidate, fencing, until: now + heldLeaseMilliseconds});
+			const {candidate, fencing, role, round} = request;
+			this.#grants.set(role, {
+				holder: candidate, fencing, round, until: now + heldLeaseMilliseconds,
+			});
 			this.observeFencing(role, fencing);
 		}
 
@@ -63,6 +66,14 @@
 		};
 	}
 
+	/** Takes back a vote in a round that its candidate gave up; a later vote for the same candidate stands. */
+	release(role: DomainRole, holder: NodeId, round: number): void {
+		const grant = this.#grants.get(role);
+		if (grant?.holder === holder && grant.round === round) {
+			this.#grants.delete(role);
+		}
+	}
+
 	#mayGrant(request: LeaseRequest, now: number): boolean {
 		if (now < this.#votesFrom) {
 			return false;
--- a/packages/membership/src/role-office/index.ts
+++ b/packages/membership/src/role-office/index.ts
@@ -6,9 +6,9 @@
 */
 
 import type {
-	FencingNumber, NodeId, Revision,
+	FencingNumber, NodeId, RandomSource, Revision,
 } from '@fireflyglade/model';
-import {candidacyStepMilliseconds} from '../_lib/constants.js';
+import {candidacyStepMilliseconds, longestPauseMilliseconds} from '../_lib/constants.js';
 import type {Body, LeaseRequest, LeaseVote} from '../_lib/messages.js';
 import {LeaseCandidate, type OwnLease} from '../lease-candidate/index.js';
 import {LeaseWitness} from '../lease-witness/index.js';
@@ -29,9 +29,18 @@
 	readonly changed: readonly DomainRole[];
 };
 
+/** Options of a role office. */
+export type RoleOfficeOptions = {
+	readonly revision: Revision;
+	readonly incarnation: number;
+	readonly random: RandomSource;
+	readonly now: number;
+};
+
 /** Witness and candidate in one. */
 export class RoleOffice {
 	readonly #node: NodeId;
+	readonly #random: RandomSource;
 	readonly #witness: LeaseWitness;
 	readonly #candidates: ReadonlyMap<DomainRole, LeaseCandidate>;
 	readonly #freeSince = new Map<DomainRole, number>();
@@ -40,8 +49,9 @@
 	#revision: Revision;
 	#isStanding = true;
 
-	constructor(node: NodeId, revision: Revision, incarnation: number, now: number) {
+	constructor(node: NodeId, {revision, incarnation, random, now}: RoleOfficeOptions) {
 		this.#node = node;
+		this.#random = random;
 		this.#revision = revision;
 		this.#witness = new LeaseWitness(now);
 		this.#candidates = new Map(domainRoles.map(role => [role, new LeaseCandidate(role, node, incarnation)]));
@@ -81,6 +91,7 @@
 		const messages: OfficeMessage[] = [];
 		const changed: DomainRole[] = [];
 		for (const role of domainRoles) {
+			this.#abandonRound(role, messages, now);
 			const request = this.#nextRequest(role, now);
 			if (request !== undefined) {
 				this.#sendToWitnesses(request, messages, changed, now);
@@ -102,6 +113,28 @@
 		return {messages: [], changed};
 	}
 
+	/** Takes over that a candidate gave a round up. */
+	receiveRelease(from: NodeId, role: DomainRole, round: number): void {
+		this.#witness.release(role, from, round);
+	}
+
+	/** Gives back the votes of a round without a majority, so that candidates don't block one another. */
+	#abandonRound(role: DomainRole, messages: OfficeMessage[], now: number): void {
+		const candidate = this.#candidates.get(role)!;
+		const round = candidate.abandonRound(now);
+		if (round === undefined) {
+			return;
+		}
+
+		candidate.waitUntil(now + this.#random.nextInteger(longestPauseMilliseconds));
+		this.#witness.release(role, this.#node, round);
+		for (const witness of this.#witnesses) {
+			if (witness !== this.#node) {
+				messages.push({to: witness, body: {kind: 'lease-release', role, round}});
+			}
+		}
+	}
+
 	#nextRequest(role: DomainRole, now: number): LeaseRequest | undefined {
 		const position = this.#witnesses.indexOf(this.#node);
 		if (position === -1 || !this.#isStanding || !this.#maySeek(role, position, now)) {
--- a/packages/membership/src/test-support/network/index.ts
+++ b/packages/membership/src/test-support/network/index.ts
@@ -38,7 +38,10 @@
 	now = 0;
 	readonly members = new Map<string, GossipMembership>();
 	readonly events = new Map<string, MembershipEvent[]>();
+	/** Steps that a message takes at most; 0 delivers at once. */
+	longestDelaySteps = 0;
 	#inFlight: MembershipMessage[] = [];
+	#delayed: Array<{readonly message: MembershipMessage; readonly dueAt: number}> = [];
 	readonly #random = new SeededRandom(5);
 
 	/** Tells whether a message is lost. */
@@ -58,7 +61,15 @@
 	}
 
 	take(address: string, actions: MembershipActions): void {
-		this.#inFlight.push(...actions.messages);
+		for (const message of actions.messages) {
+			const steps = this.longestDelaySteps === 0 ? 0 : this.#random.nextInteger(this.longestDelaySteps + 1);
+			if (steps === 0) {
+				this.#inFlight.push(message);
+			} else {
+				this.#delayed.push({message, dueAt: this.now + (steps * stepMilliseconds)});
+			}
+		}
+
 		this.events.set(address, [...this.events.get(address) ?? [], ...actions.events]);
 	}
 
@@ -102,6 +113,8 @@
 	}
 
 	#deliver(): void {
+		this.#inFlight.push(...this.#delayed.filter(({dueAt}) => dueAt <= this.now).map(({message}) => message));
+		this.#delayed = this.#delayed.filter(({dueAt}) => dueAt > this.now);
 		for (let round = 0; round < 20 && this.#inFlight.length > 0; round++) {
 			const messages = this.#inFlight;
 			this.#inFlight = [];
--- a/packages/rates/src/_lib/constants.ts
+++ b/packages/rates/src/_lib/constants.ts
@@ -11,17 +11,19 @@
 /** Milliseconds after which a borrower gives unused tokens back. */
 export const idleLoanMilliseconds = 600;
 /** Milliseconds without an answer after which the next holder is asked. */
-export const askTimeoutMilliseconds = 60;
+export const askTimeoutMilliseconds = 150;
 /** Milliseconds that a charge waits at most. */
-export const chargeTimeoutMilliseconds = 300;
+export const chargeTimeoutMilliseconds = 600;
 /** Milliseconds after a round of refusals in which no holder is asked. */
 export const dryMilliseconds = 20;
-/** Milliseconds after which spent tokens are reported. */
-export const reportMilliseconds = 50;
+/** Milliseconds after which spent tokens are reported, if no request for more carried the report. */
+export const reportMilliseconds = 300;
+/** Part of a domain's burst that one node leaves unreported at most. */
+export const unreportedShare = 1 / 8;
 /** Milliseconds for which a holder's word on its level is believed. */
 export const estimateMilliseconds = 250;
 /** Milliseconds of demand that a busy node borrows ahead. */
-export const prefetchMilliseconds = 150;
+export const prefetchMilliseconds = 200;
 /** Milliseconds between two requests to borrow ahead. */
 export const prefetchPauseMilliseconds = 10;
 /** Milliseconds between two searches for expired loans. */
@@ -31,7 +33,9 @@
 /** The least that a node borrows ahead, in tokens. */
 export const leastPrefetchTokens = 2;
 /** Part of a team's burst that one node borrows ahead at most. */
-export const prefetchShareOfBurst = 1 / 32;
+export const prefetchShareOfBurst = 1 / 16;
+/** Part of a bucket that is kept for requests that wait. */
+export const reserveShare = 1 / 3;
 /** Milliseconds over which demand is averaged. */
 export const demandWindowMilliseconds = 500;
 
@@ -45,5 +49,7 @@
 	return milliseconds * (1 + (2 * maximumClockDrift));
 }
 
+/** Unanswered requests in a row after which a domain's holder isn't asked for a while. */
+export const silentAsks = 2;
 /** Milliseconds for which a domain whose holder gave no answer isn't asked. */
 export const silenceMilliseconds = 500;
--- a/packages/rates/src/_lib/messages.ts
+++ b/packages/rates/src/_lib/messages.ts
@@ -23,7 +23,10 @@
 	readonly run: number;
 	readonly team: TeamName;
 	readonly loan: number;
+	/** What waiting requests need. */
 	readonly amount: number;
+	/** What the node would borrow ahead; it is lent only while the bucket is well filled. */
+	readonly ahead: number;
 	readonly reports: readonly LoanReport[];
 };
 
--- a/packages/rates/src/lender/index.ts
+++ b/packages/rates/src/lender/index.ts
@@ -9,7 +9,7 @@
 import type {
 	FailureDomain, FencingNumber, NodeId, Revision, TeamName,
 } from '@fireflyglade/model';
-import {heldMilliseconds, loanMilliseconds} from '../_lib/constants.js';
+import {heldMilliseconds, loanMilliseconds, reserveShare} from '../_lib/constants.js';
 import type {
 	Ask, Grant, LoanReport, Report,
 } from '../_lib/messages.js';
@@ -110,7 +110,8 @@
 			return {amount: 0, durationMilliseconds: 0};
 		}
 
-		const amount = bucket.lend(loanKey(borrower, ask.run, ask.loan), ask.amount, now + heldMilliseconds(durationMilliseconds), now);
+		const spare = Math.max(0, Math.min(ask.ahead, bucket.level(now) - ask.amount - (bucket.entitlement.burst * reserveShare)));
+		const amount = bucket.lend(loanKey(borrower, ask.run, ask.loan), ask.amount + spare, now + heldMilliseconds(durationMilliseconds), now);
 		return {amount, durationMilliseconds};
 	}
 
--- a/packages/rates/src/purse/index.ts
+++ b/packages/rates/src/purse/index.ts
@@ -111,15 +111,29 @@
 		}
 	}
 
-	/** Stops using what is left of loans taken before `before`, so that the next reports return it. */
-	giveBack(before: number): void {
+	/** Parts of a token that no report has told the lenders of. */
+	unreported(): number {
+		let sum = 0;
+		for (const loan of this.#loans) {
+			sum += loan.spent - loan.spentReported;
+		}
+
+		return sum;
+	}
+
+	/** Stops using what is left of loans taken before `before`, so that the next reports return it; returns true if there was any. */
+	giveBack(before: number): boolean {
+		let hasReturned = false;
 		for (const loan of this.#loans) {
 			if (loan.takenAt < before && loan.remaining > 0) {
 				loan.returned += loan.remaining;
 				loan.remaining = 0;
 				loan.isDirty = true;
+				hasReturned = true;
 			}
 		}
+
+		return hasReturned;
 	}
 
 	/** Writes what is new for each holder, or for one alone, and drops loans that have ended. */
--- a/packages/rates/src/team-account/index.ts
+++ b/packages/rates/src/team-account/index.ts
@@ -9,7 +9,7 @@
 } from '@fireflyglade/model';
 import {
 	askTimeoutMilliseconds, chargeTimeoutMilliseconds, dryMilliseconds, idleLoanMilliseconds, leastPrefetchTokens, loanMilliseconds, partsInToken,
-	prefetchDemandPerSecond, prefetchMilliseconds, prefetchPauseMilliseconds, prefetchShareOfBurst, reportMilliseconds, usableMilliseconds,
+	prefetchDemandPerSecond, prefetchMilliseconds, prefetchPauseMilliseconds, prefetchShareOfBurst, reportMilliseconds, reserveShare, unreportedShare, usableMilliseconds,
 } from '../_lib/constants.js';
 import type {Ask, Grant} from '../_lib/messages.js';
 import {Demand} from '../demand/index.js';
@@ -45,6 +45,8 @@
 	readonly run: number;
 	readonly book: EntitlementBook;
 	holders(): ReadonlyMap<FailureDomain, HolderView>;
+	/** The domain's holder answered. */
+	noteAnswer(domain: FailureDomain): void;
 	/** The domain's holder gave no answer in time. */
 	noteSilence(domain: FailureDomain, at: number): void;
 	nextLoan(): number;
@@ -101,6 +103,7 @@
 
 		this.#pending.delete(grant.loan);
 		this.#estimates.note(grant.domain, grant.level, now);
+		this.#context.noteAnswer(grant.domain);
 		this.#borrow(ask, grant, now);
 		if (grant.amount < ask.amount) {
 			this.#tried.add(grant.domain);
@@ -127,9 +130,9 @@
 			}
 		}
 
-		this.#purse.giveBack(now - idleLoanMilliseconds);
+		const isReturning = this.#purse.giveBack(now - idleLoanMilliseconds);
 		this.#proceed(now);
-		if (now - this.#reportedAt >= reportMilliseconds) {
+		if (isReturning || now - this.#reportedAt >= reportMilliseconds || this.#isReportDue()) {
 			this.#sendReports(now);
 		}
 	}
@@ -141,6 +144,12 @@
 		this.#sendReports(now);
 	}
 
+	/** True if what is spent but not reported takes too much of the room for new tokens. */
+	#isReportDue(): boolean {
+		const {burst} = this.#context.book.part(this.#team, this.#context.domain);
+		return this.#purse.unreported() > Math.max(partsInToken, burst * unreportedShare);
+	}
+
 	#sendReports(now: number): void {
 		this.#reportedAt = now;
 		const reports = this.#purse.takeReports(now);
@@ -174,7 +183,7 @@
 			return;
 		}
 
-		if (now < this.#dryUntil || this.#isHopeless(now) || !this.#askNext(needed + this.#prefetchTarget(now), now)) {
+		if (now < this.#dryUntil || this.#isHopeless(now) || !this.#askDomain(this.#nextDomain(now), needed, this.#prefetchTarget(now), now)) {
 			this.#endRound(now);
 		}
 	}
@@ -225,9 +234,9 @@
 		this.#tried.clear();
 		const target = this.#prefetchTarget(now);
 		const isPaused = now < Math.max(this.#dryUntil, this.#prefetchedAt + prefetchPauseMilliseconds);
-		if (target > 0 && available < target / 2 && !isPaused) {
+		if (target > 0 && available <= target / 2 && !isPaused) {
 			this.#prefetchedAt = now;
-			this.#askNext(target - available, now);
+			this.#askDomain(this.#spareDomain(now), 0, target - available, now);
 		}
 	}
 
@@ -257,9 +266,8 @@
 		return this.#estimates.estimate(domain, this.#context.book.part(this.#team, domain), now);
 	}
 
-	/** Asks the next holder for up to `amount`; returns false if there is none left. */
-	#askNext(amount: number, now: number): boolean {
-		const domain = this.#nextDomain(now);
+	/** Asks a holder for `needed`, and for `ahead` more if it has plenty; returns false if there is none to ask. */
+	#askDomain(domain: FailureDomain | undefined, needed: number, ahead: number, now: number): boolean {
 		const view = domain === undefined ? undefined : this.#context.holders().get(domain);
 		if (domain === undefined || view === undefined) {
 			return false;
@@ -268,13 +276,13 @@
 		const loan = this.#context.nextLoan();
 		const {holder, fencing} = view;
 		const pending: PendingAsk = {
-			loan, domain, holder, fencing, sentAt: now, amount: Math.max(1, Math.ceil(amount)),
+			loan, domain, holder, fencing, sentAt: now, amount: Math.ceil(needed),
 		};
 		this.#pending.set(loan, pending);
 		this.#current = pending;
 		const reports = this.#purse.takeReports(now, holder).filter(report => report.fencing === fencing).flatMap(report => report.reports);
 		this.#context.send(holder, {
-			kind: 'ask', fencing, run: this.#context.run, team: this.#team, loan, amount: pending.amount, reports,
+			kind: 'ask', fencing, run: this.#context.run, team: this.#team, loan, amount: pending.amount, ahead: Math.ceil(ahead), reports,
 		});
 		return true;
 	}
@@ -300,6 +308,20 @@
 		return best;
 	}
 
+	/** A domain that is thought to have tokens to lend ahead: the own one first. */
+	#spareDomain(now: number): FailureDomain | undefined {
+		const {domain: own, book} = this.#context;
+		const holders = this.#context.holders();
+		for (const domain of holders.has(own) ? [own, ...holders.keys()] : holders.keys()) {
+			const reserve = book.part(this.#team, domain).burst * reserveShare;
+			if (this.#estimate(domain, now) >= reserve + partsInToken) {
+				return domain;
+			}
+		}
+
+		return undefined;
+	}
+
 	#refusal(now: number): ChargeOutcome {
 		const rate = this.#context.book.configuration.teams.get(this.#team)?.ratePerSecond ?? 0;
 		const untilToken = rate > 0 ? Math.ceil(millisecondsInSecond / rate) : millisecondsInSecond;
--- a/packages/rates/src/token-rate-keeper/index.ts
+++ b/packages/rates/src/token-rate-keeper/index.ts
@@ -7,7 +7,7 @@
 import {
 	type Configuration, type FailureDomain, type NodeId, type RequestId, type TeamName, UnreachableError,
 } from '@fireflyglade/model';
-import {silenceMilliseconds} from '../_lib/constants.js';
+import {silenceMilliseconds, silentAsks} from '../_lib/constants.js';
 import type {RatePayload} from '../_lib/messages.js';
 import {EntitlementBook} from '../entitlement-book/index.js';
 import {Lender} from '../lender/index.js';
@@ -32,6 +32,7 @@
 	readonly #charged = new Map<RequestId, Charged>();
 	readonly #domain: FailureDomain;
 	#holders: ReadonlyMap<FailureDomain, HolderView> = new Map();
+	readonly #unanswered = new Map<FailureDomain, number>();
 	readonly #silentUntil = new Map<FailureDomain, number>();
 	#loanNumber = 0;
 	#decisions: ChargeDecision[] = [];
@@ -143,6 +144,15 @@
 		return account;
 	}
 
+	/** After some unanswered requests in a row, another domain isn't asked for a while; the own one always is. */
+	#noteSilence(domain: FailureDomain, now: number): void {
+		const count = (this.#unanswered.get(domain) ?? 0) + 1;
+		this.#unanswered.set(domain, count);
+		if (count >= silentAsks && domain !== this.#domain) {
+			this.#silentUntil.set(domain, now + silenceMilliseconds);
+		}
+	}
+
 	/** Holders, without those of domains that gave no answer lately. */
 	#reachableHolders(): ReadonlyMap<FailureDomain, HolderView> {
 		if (this.#silentUntil.size === 0) {
@@ -158,8 +168,11 @@
 			run: this.#run,
 			book: this.#book,
 			holders: () => this.#reachableHolders(),
+			noteAnswer: domain => {
+				this.#unanswered.delete(domain);
+			},
 			noteSilence: (domain, at) => {
-				this.#silentUntil.set(domain, at + silenceMilliseconds);
+				this.#noteSilence(domain, at);
 			},
 			nextLoan: () => {
 				this.#loanNumber++;
--- /dev/null
+++ b/packages/scenario/src/bench/rates/_lib/fleet.ts
@@ -0,0 +1,154 @@
+/**
+A fleet of nodes' fleet runtimes in one process, over real remote calls on
+loopback, with a stand-in for control that hands out a configuration.
+*/
+
+import {
+	createFailureDomain, createNodeId, emptyConfiguration, SystemClock,
+	type Configuration, type DomainSettings, type FailureDomain, type NodeId, type Revision, type Team,
+} from '@fireflyglade/model';
+import {FleetRuntime} from '@fireflyglade/node';
+import {GrpcRpcClient, GrpcRpcServer, reportMethod} from '@fireflyglade/transport';
+import {BenchTimeoutError} from './errors.js';
+import {LinkedClient, type Links} from './links.js';
+
+const credentials = {kind: 'token', token: 'rates-bench'} as const;
+const pollMilliseconds = 10;
+const startLimitMilliseconds = 15_000;
+const witnessCount = 3;
+const settleMilliseconds = 500;
+
+/** One node of the fleet. */
+export type BenchNode = {
+	readonly node: NodeId;
+	readonly domain: FailureDomain;
+	readonly rpcAddress: string;
+	readonly fleet: FleetRuntime;
+	isStopped: boolean;
+	/** Ends the node without a word to its peers. */
+	kill(): Promise<void>;
+};
+
+/** Waits until a condition holds. */
+export async function until(what: string, condition: () => boolean): Promise<void> {
+	const end = performance.now() + startLimitMilliseconds;
+	while (!condition()) {
+		if (performance.now() > end) {
+			throw new BenchTimeoutError(`${what} did not come about in time`);
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, pollMilliseconds);
+		});
+	}
+}
+
+/** A fleet for the bench. */
+export class BenchFleet {
+	readonly clock = new SystemClock();
+	readonly nodes: BenchNode[] = [];
+	readonly domains: FailureDomain[] = [];
+	readonly #links: Links;
+	readonly #control = new GrpcRpcServer(credentials);
+	#configuration: Configuration = emptyConfiguration;
+
+	constructor(links: Links) {
+		this.#links = links;
+	}
+
+	get links(): Links {
+		return this.#links;
+	}
+
+	/** Starts nodes in domains of equal weight, and waits until each domain has a holder. */
+	async start(domainCount: number, nodesPerDomain: number): Promise<void> {
+		this.#control.handle(reportMethod, async report => {
+			const end = performance.now() + report.waitMilliseconds;
+			while (this.#configuration.revision <= report.revision && performance.now() < end) {
+				await new Promise(resolve => {
+					setTimeout(resolve, pollMilliseconds);
+				});
+			}
+
+			const isNewer = this.#configuration.revision > report.revision;
+			return isNewer ? {quorum: true, update: {kind: 'whole' as const, configuration: this.#configuration}} : {quorum: true};
+		});
+		const control = await this.#control.listen('127.0.0.1:0');
+		for (let domain = 0; domain < domainCount; domain++) {
+			this.domains.push(createFailureDomain(`domain-${domain}`));
+			for (let index = 0; index < nodesPerDomain; index++) {
+				await this.#startNode(domain, index, control);
+			}
+		}
+
+		this.#configuration = {...emptyConfiguration, revision: 1 as Revision, domains: this.#domainSettings()};
+		await until('a holder in each domain', () => this.nodes.every(({fleet}) => fleet.holders().size === domainCount));
+	}
+
+	/** Creates teams, and waits until every node has them. */
+	async setTeams(teams: readonly Team[]): Promise<void> {
+		const revision = this.#configuration.revision + 1 as Revision;
+		this.#configuration = {...this.#configuration, revision, teams: new Map(teams.map(team => [team.name, team]))};
+		await until('the teams', () => this.nodes.every(({fleet, isStopped}) => isStopped || fleet.configuration().revision === revision));
+	}
+
+	/** Waits until loans of earlier teams have ended and new teams are full. */
+	async settle(): Promise<void> {
+		await new Promise(resolve => {
+			setTimeout(resolve, settleMilliseconds);
+		});
+	}
+
+	holderOf(domain: FailureDomain): BenchNode | undefined {
+		for (const {fleet, isStopped} of this.nodes) {
+			const holder = isStopped ? undefined : fleet.holders().get(domain)?.holder;
+			const found = this.nodes.find(({node}) => node === holder);
+			if (found !== undefined) {
+				return found;
+			}
+		}
+
+		return undefined;
+	}
+
+	async close(): Promise<void> {
+		for (const node of this.nodes) {
+			await node.kill();
+		}
+
+		await this.#control.close();
+	}
+
+	async #startNode(domainIndex: number, index: number, control: string): Promise<void> {
+		const domain = this.domains[domainIndex]!;
+		const node = createNodeId(`node-${domainIndex}-${index}`);
+		const server = new GrpcRpcServer(credentials);
+		const client = new LinkedClient(new GrpcRpcClient(credentials), this.#links, domain);
+		const seeds = this.nodes.slice(0, 1).map(({rpcAddress}) => rpcAddress);
+		const fleet = new FleetRuntime({
+			node, domain, control: [control], seeds, client, clock: this.clock, randomSeed: (domainIndex * 100) + index,
+		});
+		fleet.register(server);
+		const rpcAddress = await server.listen('127.0.0.1:0');
+		this.#links.domainByAddress.set(rpcAddress, domain);
+		fleet.start({rpcAddress, gateUrl: 'http://127.0.0.1:1', callersUrl: 'http://127.0.0.1:1'});
+		this.nodes.push({
+			node, domain, rpcAddress, fleet, isStopped: false,
+			async kill() {
+				if (!this.isStopped) {
+					this.isStopped = true;
+					client.close();
+					await fleet.close();
+					await server.close();
+				}
+			},
+		});
+	}
+
+	#domainSettings(): Map<FailureDomain, DomainSettings> {
+		return new Map(this.domains.map(name => {
+			const witnesses = this.nodes.filter(({domain}) => domain === name).slice(0, witnessCount).map(({node}) => node);
+			return [name, {name, weight: 1, witnesses}];
+		}));
+	}
+}
