--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,6 +2,12 @@
 RPC between processes and HTTP plumbing.
 */
 
+export * from './http-answer/index.js';
+export * from './http-body/index.js';
+export * from './http-fields/index.js';
+export * from './http-listener/index.js';
+export * from './http-sender/index.js';
+export type * from './http-types/index.js';
 export * from './load-fleet-credentials/index.js';
 export * from './message-codec/index.js';
 export * from './rpc-client/index.js';
