Keep requests from waiting at gates below

A small team was shed first from a full queue, as one waiting request weighed a whole run of its share.

Change: each answer tells how long the call and those below it waited at gates. A gate takes that out of the latency and lowers its own limit until little time is spent waiting below. The team to shed is chosen by the virtual start of its last request, and an idle team may catch up one run.

--- a/packages/admission/src/_lib/fair-queue/index.ts
+++ b/packages/admission/src/_lib/fair-queue/index.ts
@@ -25,8 +25,9 @@
 	readonly byNewest: IndexedHeap<WaitingRequest>;
 };
 
-function virtualEnd(team: TeamEntry): number {
-	return team.account.virtualStart + (team.byDeadline.size / team.account.weight);
+/** Virtual time at which the last of the team's requests would start. */
+function lastVirtualStart(team: TeamEntry): number {
+	return team.account.virtualStart + ((team.byDeadline.size - 1) / team.account.weight);
 }
 
 /** A queue that is fair between teams by their accounts. */
@@ -34,7 +35,7 @@
 	/** Teams of which a request waits here. */
 	readonly #teams = new Map<TeamAccount, TeamEntry>();
 	readonly #byStart = new IndexedHeap<TeamEntry>((left, right) => left.account.virtualStart < right.account.virtualStart);
-	readonly #byEnd = new IndexedHeap<TeamEntry>((left, right) => virtualEnd(left) > virtualEnd(right));
+	readonly #byLastStart = new IndexedHeap<TeamEntry>((left, right) => lastVirtualStart(left) > lastVirtualStart(right));
 
 	add(waiting: WaitingRequest): void {
 		const team = this.#teams.get(waiting.account) ?? this.#createEntry(waiting.account);
@@ -51,7 +52,7 @@
 
 	/** The request that gives way first: of the team furthest ahead of its share, the one with the least remaining time. */
 	firstToShed(): WaitingRequest | undefined {
-		return this.#byEnd.first()?.byDeadline.first();
+		return this.#byLastStart.first()?.byDeadline.first();
 	}
 
 	remove(waiting: WaitingRequest): void {
@@ -74,12 +75,12 @@
 		if (team.byDeadline.size === 0) {
 			this.#teams.delete(team.account);
 			this.#byStart.remove(team);
-			this.#byEnd.remove(team);
+			this.#byLastStart.remove(team);
 			return;
 		}
 
 		this.#byStart.update(team);
-		this.#byEnd.update(team);
+		this.#byLastStart.update(team);
 	}
 
 	#createEntry(account: TeamAccount): TeamEntry {
--- a/packages/admission/src/_lib/sample-window/index.ts
+++ b/packages/admission/src/_lib/sample-window/index.ts
@@ -11,6 +11,7 @@
 	#timed = 0;
 	#sum = 0;
 	#sumOfSquares = 0;
+	#queuedBelow = 0;
 	#maximumInFlight = 0;
 	#minimumInFlight = Number.POSITIVE_INFINITY;
 
@@ -37,7 +38,12 @@
 		return this.#count === 0 ? 0 : this.#failures / this.#count;
 	}
 
-	/** Mean latency in milliseconds of runs that succeeded or timed out. */
+	/** Mean milliseconds for which the calls of a run waited at gates below. */
+	get queuedBelow(): number {
+		return this.#timed === 0 ? 0 : this.#queuedBelow / this.#timed;
+	}
+
+	/** Mean latency in milliseconds, without the waiting below, of runs that succeeded or timed out. */
 	get latency(): number | undefined {
 		return this.#timed === 0 ? undefined : this.#sum / this.#timed;
 	}
@@ -62,7 +68,10 @@
 		switch (sample.outcome) {
 			case 'success':
 			case 'timeout': {
-				const milliseconds = now - sample.startedAt;
+				const elapsed = now - sample.startedAt;
+				const queuedBelow = Math.min(elapsed, Math.max(0, sample.queuedBelowMilliseconds ?? 0));
+				const milliseconds = elapsed - queuedBelow;
+				this.#queuedBelow += queuedBelow;
 				this.#count++;
 				this.#timed++;
 				this.#sum += milliseconds;
--- a/packages/admission/src/_lib/team-accounts/index.ts
+++ b/packages/admission/src/_lib/team-accounts/index.ts
@@ -3,8 +3,9 @@
 
 A team has one virtual start over all importances: it moves on by 1 / weight
 with each request that leaves the queue to run, so a team that takes much by
-important requests gets less for its other ones. A team that was idle joins at
-the virtual time, the smallest virtual start of the teams that wait.
+important requests gets less for its other ones. A team that was idle joins one
+run before the virtual time, the smallest virtual start of the teams that wait:
+a small team often has nothing waiting when its turn comes.
 */
 
 import {IndexedHeap} from '../indexed-heap/index.js';
@@ -21,6 +22,8 @@
 
 /** Runs of the whole gate by which a team may be ahead of the others. */
 const maximumLeadRuns = 500;
+/** Runs that a team which had nothing waiting may catch up. */
+const idleCreditRuns = 1;
 /** Idle teams that are remembered. */
 const rememberedIdleTeams = 1024;
 
@@ -36,7 +39,7 @@
 		const account = this.#accounts.get(name) ?? this.#create(name, weight);
 		if (account.waiting === 0) {
 			account.weight = weight;
-			account.virtualStart = Math.max(account.virtualStart, this.#virtualTime);
+			account.virtualStart = Math.max(account.virtualStart, this.#virtualTime - (idleCreditRuns / weight));
 			this.#activeWeight += weight;
 			this.#active.update(account);
 		}
--- a/packages/admission/src/adaptive-limit/index.ts
+++ b/packages/admission/src/adaptive-limit/index.ts
@@ -8,10 +8,12 @@
 failures, starts a probe: for a short time the limit is lowered to half. If the
 requests that start then come back faster, they had queued and the limit stays
 low; if not, the work is slower, the old limit is restored and the baseline
-takes over the new latency. The baseline falls at once with any faster
+takes over the new latency. What the calls of a request wait at gates below is
+left out of its latency and has a cap of its own. The baseline falls at once with any faster
 requests, and only a probe or an almost idle upstream raises it.
 */
 
+import {DownstreamCap} from '../_lib/downstream-cap/index.js';
 import {ProbeCohort} from '../_lib/probe-cohort/index.js';
 import {SampleWindow} from '../_lib/sample-window/index.js';
 import {WarmUp} from '../_lib/warm-up/index.js';
@@ -82,6 +84,7 @@
 	#fullFrom: number | undefined;
 	#explorationMilliseconds = firstExplorationMilliseconds;
 	readonly #warmUp: WarmUp;
+	readonly #downstreamCap = new DownstreamCap();
 
 	constructor(options: AdaptiveLimitOptions) {
 		this.#slots = wholeSlots(options.slots);
@@ -96,7 +99,7 @@
 	}
 
 	current(now: number): number {
-		return Math.max(1, Math.floor(Math.min(this.#limit, this.#slots, this.#warmUp.cap(this.#slots, now))));
+		return Math.max(1, Math.floor(Math.min(this.#limit, this.#downstreamCap.current(this.#slots), this.#warmUp.cap(this.#slots, now))));
 	}
 
 	setSlots(slots: number, _now: number): void {
@@ -149,6 +152,7 @@
 
 		this.#window = new SampleWindow(now);
 		this.#warmUp.observe(window.latency, now);
+		this.#downstreamCap.observe(window, this.#slots);
 		this.#baseline = this.#nextBaseline(window);
 		if (isWarmingUp) {
 			return;
--- a/packages/admission/src/gate-admission/index.ts
+++ b/packages/admission/src/gate-admission/index.ts
@@ -73,14 +73,14 @@
 		return this.#wait(request, now);
 	}
 
-	finish(requestId: RequestId, outcome: RunOutcome, now: number): readonly AdmissionDecision[] {
+	finish(requestId: RequestId, outcome: RunOutcome, now: number, queuedBelowMilliseconds = 0): readonly AdmissionDecision[] {
 		const running = this.#running.get(requestId);
 		if (running === undefined) {
 			return [];
 		}
 
 		this.#running.delete(requestId);
-		this.#limit.finish({startedAt: running.startedAt, outcome}, this.#running.size, now);
+		this.#limit.finish({startedAt: running.startedAt, outcome, queuedBelowMilliseconds}, this.#running.size, now);
 		if (outcome === 'success' || outcome === 'timeout') {
 			this.#estimate.record(running.priority, now - running.startedAt, now);
 		}
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -36,8 +36,8 @@
 export type Admission = {
 	/** Offers a request; the decisions may also concern requests that waited. */
 	offer(request: AdmissionRequest, now: number): readonly AdmissionDecision[];
-	/** Reports the end of a request that ran; the decisions concern requests that waited. */
-	finish(requestId: RequestId, outcome: RunOutcome, now: number): readonly AdmissionDecision[];
+	/** Reports the end of a request that ran, with the milliseconds that its calls waited at gates below; the decisions concern requests that waited. */
+	finish(requestId: RequestId, outcome: RunOutcome, now: number, queuedBelowMilliseconds?: number): readonly AdmissionDecision[];
 	/** Takes back a request that waits, as its caller has gone. */
 	cancel(requestId: RequestId, now: number): readonly AdmissionDecision[];
 	/** Refuses what can no longer meet its deadline and starts what fits; called about every 10 ms while something waits. */
@@ -75,6 +75,8 @@
 export type RunSample = {
 	readonly startedAt: number;
 	readonly outcome: RunOutcome;
+	/** Milliseconds that its calls waited at gates below. */
+	readonly queuedBelowMilliseconds?: number;
 };
 
 /** How many requests the upstream may run at once. */
--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -81,6 +81,7 @@
 	#remaining: number;
 	#split: AttemptSplit = {passed: 1, kept: 0};
 	#attempts = 0;
+	#queuedMilliseconds = 0;
 	#target: Target | undefined;
 	#attemptAt = 0;
 	#level: GateLevel | undefined;
@@ -108,6 +109,11 @@
 		return this.#remaining;
 	}
 
+	/** Milliseconds that the attempts and the calls below them waited at gates. */
+	get queuedMilliseconds(): number {
+		return this.#queuedMilliseconds;
+	}
+
 	/** Sends the first attempt. */
 	start(): void {
 		this.#options.retryBudget.recordAttempt(this.#options.clock.now());
@@ -130,6 +136,7 @@
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
 		this.#level = note.level;
+		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
 		this.#remaining = lowerAttempts(this.#split, {kind: 'ran', unspent: note.retriesLeft});
 		if (head.status === upstreamOverloadedStatus && this.#call.route.idempotent && this.#takeRetry()) {
 			this.#isDiscarding = true;
@@ -161,6 +168,7 @@
 
 	onProblem(problem: Problem, note: GateNote): void {
 		this.#level = note.level;
+		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
 		this.#remaining = lowerAttempts(this.#split, problem.outcome === 'not-run' ? {kind: 'not-run'} : {kind: 'ran', unspent: note.retriesLeft});
 		this.#mayHaveRun ||= problem.outcome === 'unknown';
 		this.#lastProblem = problem;
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -312,6 +312,7 @@
 		const {fleet, observer, clock} = this.#options.dependencies;
 		const attempts = this.#attemptsOf.get(answer);
 		terms.parent?.returnRetries(attempts?.retriesLeft ?? terms.attempts - 1);
+		terms.parent?.addQueued(attempts?.queuedMilliseconds ?? 0);
 		if (terms.isCharged) {
 			settleCharge(fleet, requestId, end);
 			this.#count(terms.team, end);
--- a/packages/node/src/_lib/call-table/index.ts
+++ b/packages/node/src/_lib/call-table/index.ts
@@ -14,6 +14,7 @@
 	readonly token = createContextToken();
 	readonly #children = new Set<() => void>();
 	readonly #attempts: SharedAttempts;
+	#queuedMilliseconds = 0;
 
 	constructor(readonly context: CallContext) {
 		this.#attempts = new SharedAttempts(context.remainingAttempts);
@@ -37,6 +38,16 @@
 		this.#attempts.giveBack(count);
 	}
 
+	/** Milliseconds that the calls below waited at gates. */
+	get queuedMilliseconds(): number {
+		return this.#queuedMilliseconds;
+	}
+
+	/** Counts the time that a call below waited at gates. */
+	addQueued(milliseconds: number): void {
+		this.#queuedMilliseconds += milliseconds;
+	}
+
 	/** Registers a call below, to be cancelled with this request; returns a function that ends this. */
 	addChild(cancel: () => void): () => void {
 		this.#children.add(cancel);
--- a/packages/node/src/_lib/call-types.ts
+++ b/packages/node/src/_lib/call-types.ts
@@ -32,6 +32,8 @@
 	readonly level?: GateLevel;
 	/** Retries of the call tree that were not used; none if the gate could not tell. */
 	readonly retriesLeft: number;
+	/** Milliseconds that the call and those below it waited at gates. */
+	readonly queuedMilliseconds?: number;
 };
 
 /** Takes the answer to a call. `onEnd`, `onProblem` or `onBroken` is called once, as the last of all. */
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -48,6 +48,7 @@
 	#recorder: AnswerRecorder | undefined;
 	#deadlineTimer: Timer | undefined;
 	#startedAt = 0;
+	#admittedAt: number | undefined;
 
 	constructor(readonly call: GateCall, receiver: CallReceiver, gate: Gate) {
 		this.#receiver = receiver;
@@ -185,6 +186,7 @@
 
 	#admit(): void {
 		const {job, context} = this.call;
+		this.#admittedAt = this.#now();
 		this.#gate.outcomes.record(context.requestId, 'running', this.#now());
 		this.#startDeadline();
 		if (job === undefined) {
@@ -388,7 +390,7 @@
 		this.#gate.options.observer.hopFinished({
 			hop: 'gate', requestId: this.call.context.requestId, traceparent: this.call.context.traceparent, upstream: this.#upstream!.id, start: this.#startedAt, end: now, status: this.#status,
 		});
-		this.#gate.apply(this.#upstream!.admission.finish(this.call.context.requestId, outcome, now));
+		this.#gate.apply(this.#upstream!.admission.finish(this.call.context.requestId, outcome, now, this.#running?.queuedMilliseconds));
 	}
 
 	async #finishClaim(outcome: ClaimOutcome, done?: () => void): Promise<void> {
@@ -419,8 +421,11 @@
 	}
 
 	#note(retriesLeft: number): GateNote {
-		const level = this.#upstream?.admission.level(this.#now());
-		return level === undefined ? {retriesLeft} : {level, retriesLeft};
+		const now = this.#now();
+		const level = this.#upstream?.admission.level(now);
+		const waited = this.#startedAt === 0 ? 0 : (this.#admittedAt ?? now) - this.#startedAt;
+		const queuedMilliseconds = waited + (this.#running?.queuedMilliseconds ?? 0);
+		return {...(level === undefined ? {} : {level}), retriesLeft, queuedMilliseconds};
 	}
 
 	#now(): number {
--- a/packages/node/src/_lib/peer-fields/index.ts
+++ b/packages/node/src/_lib/peer-fields/index.ts
@@ -18,6 +18,8 @@
 export const levelField = 'fireflyglade-level';
 /** Field with the retries of the call that were not used. */
 export const retriesLeftField = 'fireflyglade-retries-left';
+/** Field with the milliseconds that the call and those below it waited at gates. */
+export const queuedField = 'fireflyglade-queued-ms';
 /** Field that marks an answer as a problem which the gate states. */
 export const problemField = 'fireflyglade-problem';
 /** Field with the milliseconds after which a retry may help. */
--- a/packages/node/src/_lib/remote-gate/index.ts
+++ b/packages/node/src/_lib/remote-gate/index.ts
@@ -15,7 +15,7 @@
 	CallReceiver, CallRunner, GateCall, GateNote, RunningCall,
 } from '../call-types.js';
 import {
-	callField, fleetTokenField, formatPeerCall, parseLevel, parseNumberField, parseProblemCode, retriesLeftField, retryAfterField, wholeField,
+	callField, fleetTokenField, formatPeerCall, parseLevel, parseNumberField, parseProblemCode, queuedField, retriesLeftField, retryAfterField, wholeField,
 } from '../peer-fields/index.js';
 
 /** What the calls to other gates need. */
@@ -129,7 +129,8 @@
 	onHead(head: AnswerHead, flow: AnswerFlow): void {
 		const level = parseLevel(head.headers);
 		const retriesLeft = parseNumberField(head.headers, retriesLeftField) ?? 0;
-		this.#note = level === undefined ? {retriesLeft} : {level, retriesLeft};
+		const queuedMilliseconds = parseNumberField(head.headers, queuedField) ?? 0;
+		this.#note = {...(level === undefined ? {} : {level}), retriesLeft, queuedMilliseconds};
 		if (parseProblemCode(head.headers) !== undefined) {
 			this.#problemHead = head;
 			return;
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -17,7 +17,7 @@
 	CallReceiver, GateCall, GateNote,
 } from '../_lib/call-types.js';
 import {
-	callField, fleetTokenField, formatLevel, levelField, parsePeerCall, problemField, retriesLeftField, retryAfterField, SecretCheck, wholeField,
+	callField, fleetTokenField, formatLevel, levelField, parsePeerCall, problemField, queuedField, retriesLeftField, retryAfterField, SecretCheck, wholeField,
 	type PeerCall,
 } from '../_lib/peer-fields/index.js';
 import {readFraming, wholeBodyBytes} from '../_lib/request-body/index.js';
@@ -173,6 +173,10 @@
 
 function noteFields(note: GateNote): Record<string, string> {
 	const fields: Record<string, string> = {[retriesLeftField]: String(note.retriesLeft)};
+	if (note.queuedMilliseconds !== undefined && note.queuedMilliseconds >= 1) {
+		fields[queuedField] = String(Math.round(note.queuedMilliseconds));
+	}
+
 	if (note.level !== undefined) {
 		fields[levelField] = formatLevel(note.level);
 	}
