--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -128,10 +128,8 @@
 		this.#isDone = true;
 		this.#retryTimer?.cancel();
 		const running = this.#running;
-		if (running !== undefined) {
-			this.#endAttempt({kind: 'cancelled'});
-			running.cancel();
-		}
+		this.#endAttempt({kind: 'cancelled'});
+		running?.cancel();
 	}
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
