Add the scenario language, eight scenarios and the capacity bench

Scenarios run on virtual time against the real admission, routing, retry budget, rates and state machine, with small fakes for upstreams, network and callers. The capacity bench measures slopes of messages, bytes, processor time and memory, and idle daemons as processes.

--- /dev/null
+++ b/packages/scenario/src/run-scenario/index.ts
@@ -0,0 +1,49 @@
+/**
+Runs a scenario on virtual time against the real decisions: admission, routing,
+retry budget, rates, and the state machine. Upstreams, network and callers are
+small fakes; the same scenario and seed give the same result.
+*/
+
+import {GateAdmission} from '@fireflyglade/admission';
+import {announcementTimeoutMilliseconds} from '@fireflyglade/model';
+import {TokenRateKeeper} from '@fireflyglade/rates';
+import {
+	lowerAttempts, NodeRetryBudget, splitAttempts, TargetRouting,
+} from '@fireflyglade/routing';
+import {ConfigurationStateMachine} from '@fireflyglade/state';
+import {evaluateExpectation} from '../_lib/evaluate-expectation/index.js';
+import {ScenarioWorld} from '../_lib/scenario-world/index.js';
+import type {Scenario} from '../scenario.types.js';
+import type {ScenarioMechanisms, ScenarioResult} from './types.js';
+
+export type * from './types.js';
+
+/** The product's own mechanisms. */
+export const productMechanisms: ScenarioMechanisms = {
+	createAdmission: options => new GateAdmission(options),
+	createRouting: options => new TargetRouting(options),
+	createRetryBudget: () => new NodeRetryBudget(),
+	createRateKeeper: options => new TokenRateKeeper(options),
+	createStateMachine: () => new ConfigurationStateMachine(),
+	lowerAttempts: (remaining, didRun) => lowerAttempts(splitAttempts(remaining), didRun ? {kind: 'ran'} : {kind: 'not-run'}),
+	feedDelayMilliseconds: 500,
+	announcementTimeoutMilliseconds,
+};
+
+/** Options of a run. */
+export type RunScenarioOptions = {
+	readonly seed: number;
+	/** Replaces mechanisms, to show that a scenario notices. */
+	readonly mechanisms?: Partial<ScenarioMechanisms>;
+};
+
+/** Runs a scenario to its end and evaluates its expectations. */
+export function runScenario(scenario: Scenario, options: RunScenarioOptions): ScenarioResult {
+	const world = new ScenarioWorld(scenario, {...productMechanisms, ...options.mechanisms}, options.seed);
+	world.run();
+	return {
+		expectations: scenario.expectations.map(expectation => evaluateExpectation(expectation, world)),
+		requests: world.requests.length,
+		refusedStatements: world.refusedStatements,
+	};
+}
