--- a/packages/node/src/_lib/call-server/test.ts
+++ b/packages/node/src/_lib/call-server/test.ts
@@ -9,6 +9,8 @@
 import type {RunningNode} from '../../create-node/index.js';
 
 type ProblemBody = {readonly code: string; readonly outcome: string};
+type CallOptions = {readonly method?: string; readonly headers?: Record<string, string>; readonly body?: string};
+type CallAnswer = {readonly status: number; readonly problem: ProblemBody; readonly headers: Record<string, unknown>};
 
 const authorization = `Bearer ${secretOfRed}`;
 const goodHead = `Host: a\r\nAuthorization: ${authorization}\r\nConnection: close\r\n`;
@@ -34,11 +36,21 @@
 		await fleet.stop();
 	});
 
+	async function statusOf(path: string): Promise<number> {
+		const answer = await call(path);
+		return answer.status;
+	}
+
+	async function codeOf(path: string): Promise<string> {
+		const answer = await call(path);
+		return answer.problem.code;
+	}
+
 	beforeEach(() => {
 		upstream.received.length = 0;
 	});
 
-	async function call(path: string, options: {readonly method?: string; readonly headers?: Record<string, string>; readonly body?: string} = {}): Promise<{readonly status: number; readonly problem: ProblemBody; readonly headers: Record<string, unknown>}> {
+	async function call(path: string, options: CallOptions = {}): Promise<CallAnswer> {
 		const answer = await request(`http://${node.addresses.callers}${path}`, {method: 'GET', headers: {authorization}, ...options});
 		const text = await answer.body.text();
 		return {status: answer.statusCode, problem: JSON.parse(text === '' ? '{}' : text) as ProblemBody, headers: answer.headers};
@@ -58,6 +70,7 @@
 		['a timeout that is no number', '/orders/1', {headers: {authorization, 'fireflyglade-timeout-ms': '1.5'}}, 400, 'bad-request'],
 		['a body that is too large', '/orders', {method: 'POST', body: 'x'.repeat(1_000_001)}, 413, 'body-too-large'],
 	] as const) {
+		// eslint-disable-next-line @typescript-eslint/no-loop-func -- the node is started before any test runs
 		it(`refuses ${name} with ${status} ${code}`, async () => {
 			const answer = await call(path, options);
 			expect(answer.status).to.equal(status);
@@ -84,6 +97,7 @@
 		['header fields that are too large', `GET /open HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(20_000)}\r\nConnection: close\r\n\r\n`, 431],
 		['another expectation', `POST /orders HTTP/1.1\r\n${goodHead}Expect: 200-ok\r\nContent-Length: 0\r\n\r\n`, 417],
 	] as const) {
+		// eslint-disable-next-line @typescript-eslint/no-loop-func -- the node is started before any test runs
 		it(`refuses ${name} with ${status}`, async () => {
 			const answer = await exchangeRaw(node.addresses.callers, text);
 			expect(answer).to.match(new RegExp(String.raw`^HTTP/1\.1 ${status} `));
@@ -120,10 +134,10 @@
 	});
 
 	it('refuses a withdrawn key on a connection that is open', async () => {
-		expect((await call('/orders/1')).status).to.equal(200);
+		expect(await statusOf('/orders/1')).to.equal(200);
 		fleet.shared.withdrawn.add('key-red' as KeyId);
-		expect((await call('/orders/1')).problem.code).to.equal('key-unknown');
-		expect((await call('/open')).status).to.equal(200);
+		expect(await codeOf('/orders/1')).to.equal('key-unknown');
+		expect(await statusOf('/open')).to.equal(200);
 		fleet.shared.withdrawn.clear();
 	});
 
@@ -137,10 +151,10 @@
 
 	it('serves or refuses keyed routes of a domain that is cut off, as the route says', async () => {
 		fleet.shared.connectivity = {kind: 'cut-off', since: performance.now() - 6000};
-		expect((await call('/orders/1')).status).to.equal(200);
-		expect((await call('/fresh')).problem.code).to.equal('cut-off');
+		expect(await statusOf('/orders/1')).to.equal(200);
+		expect(await codeOf('/fresh')).to.equal('cut-off');
 		fleet.shared.connectivity = {kind: 'cut-off', since: performance.now()};
-		expect((await call('/fresh')).status).to.equal(200);
+		expect(await statusOf('/fresh')).to.equal(200);
 		fleet.shared.connectivity = {kind: 'connected'};
 	});
 
@@ -151,11 +165,11 @@
 		const target = fleet.shared.targets.get('a')!;
 		fleet.shared.targets.clear();
 		fleet.shared.notify();
-		expect((await call('/orders/1')).problem.code).to.equal('no-upstream');
+		expect(await codeOf('/orders/1')).to.equal('no-upstream');
 		expect(fleet.shared.refunded).to.have.length(1);
 		fleet.shared.targets.set('a', target);
 		fleet.shared.notify();
-		expect((await call('/orders/1')).status).to.equal(200);
+		expect(await statusOf('/orders/1')).to.equal(200);
 		expect(fleet.shared.settled).to.have.length(1);
 	});
 
--- a/packages/node/src/_lib/egress-policy/index.ts
+++ b/packages/node/src/_lib/egress-policy/index.ts
@@ -13,6 +13,7 @@
 import type {CallTable, RunningRequest} from '../call-table/index.js';
 import {mayUseRoute, readSecret} from '../caller-identity/index.js';
 import {contextField} from '../peer-fields/index.js';
+import {readTraceId} from '../trace-context/index.js';
 
 /** The terms of calls that the upstream makes. */
 export class EgressPolicy implements CallPolicy {
@@ -65,6 +66,11 @@
 	};
 }
 
+/** A call stays in the trace of its request, also if it says otherwise. */
+function continueTrace(stated: string | undefined, ofParent: string): string {
+	return stated !== undefined && readTraceId(stated) === readTraceId(ofParent) ? stated : ofParent;
+}
+
 function matchedTerms(parent: RunningRequest, route: Route, deadline: number, common: CommonTerms): CallTerms {
 	const {team, rootId, priority, depth, deadline: parentDeadline} = parent.context;
 	if (depth + 1 > maximumCallDepth) {
@@ -89,5 +95,6 @@
 		depth: depth + 1,
 		parent,
 		...common,
+		traceparent: continueTrace(common.traceparent, parent.context.traceparent),
 	};
 }
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -5,7 +5,7 @@
 
 import {
 	announcementIntervalMilliseconds, bytesInKibibyte,
-	type GateLevel, type Target, type TeamName, type Timer,
+	type Configuration, type GateLevel, type Target, type TeamName, type Timer,
 } from '@fireflyglade/model';
 import {
 	HttpListener,
@@ -70,6 +70,7 @@
 	readonly #announcements: AnnounceListener;
 	readonly #listeners: Readonly<Record<keyof NodeAddresses, HttpListener>>;
 	#addresses: NodeAddresses | undefined;
+	#configuration: Configuration | undefined;
 	#removeChangeListener: (() => void) | undefined;
 	#stopping: Promise<void> | undefined;
 	#refreshTimer: Timer | undefined;
@@ -165,8 +166,15 @@
 		const configuration = fleet.configuration();
 		const targets = fleet.targets();
 		routing.setTargets(targets, clock.now());
-		routing.setDrained(configuration.drainedUpstreams);
 		this.#remoteGates.retain(targets);
+		if (configuration !== this.#configuration) {
+			this.#configuration = configuration;
+			this.#takeConfiguration(configuration);
+		}
+	}
+
+	#takeConfiguration(configuration: Configuration): void {
+		this.#dependencies.routing.setDrained(configuration.drainedUpstreams);
 		this.#callers.setConfiguration(configuration);
 		this.#egress.setConfiguration(configuration);
 		const weights = new Map<TeamName, number>();
--- a/packages/node/src/create-node/test.ts
+++ b/packages/node/src/create-node/test.ts
@@ -132,6 +132,7 @@
 		});
 
 		for (const framing of ['chunked', 'length', 'close'] as const) {
+			// eslint-disable-next-line @typescript-eslint/no-loop-func -- the nodes are started before any test runs
 			it(`resets the caller when an answer framed by ${framing} breaks midway`, async () => {
 				upstream.handler = (_message, response) => {
 					response.writeHead(200, {
@@ -164,9 +165,10 @@
 			const sent = nodeRequest(`http://${entry.addresses.callers}/orders/1`, {headers: {authorization}});
 			sent.on('error', ignoreBrokenConnection);
 			sent.end();
-			await waitUntil(() => upstream.received.length === 1);
+			const {received} = upstream;
+			await waitUntil(() => received.length === 1);
 			sent.destroy();
-			await waitUntil(() => upstream.received[0]!.isCancelled);
+			await waitUntil(() => received[0]!.isCancelled);
 		});
 
 		it('answers HEAD without a body and with the length', async () => {
@@ -223,8 +225,9 @@
 				}, Math.floor(Number(message.url!.split('/')[2]) * 7 % 40));
 			};
 
+			const url = `http://${entry.addresses.callers}`;
 			const answers = await Promise.all(Array.from({length: 200}, async (_, index) => {
-				const answer = await request(`http://${entry.addresses.callers}/orders/${index}`, {headers: {authorization}});
+				const answer = await request(`${url}/orders/${index}`, {headers: {authorization}});
 				return answer.body.text();
 			}));
 			expect(answers).to.deep.equal(Array.from({length: 200}, (_, index) => `/orders/${index}`));
@@ -279,6 +282,7 @@
 
 		const answer = open(node, '/orders/1');
 		await waitUntil(() => upstream.received.length === 1);
+		upstream.silence();
 		await request(`http://${node.addresses.announce}/announce`, {method: 'DELETE'});
 		const refused = await request(`http://${node.addresses.callers}/orders/2`, {headers: {authorization}});
 		expect(await refused.body.json()).to.include({code: 'no-upstream', outcome: 'not-run'});
--- a/packages/node/src/test-support/index.ts
+++ b/packages/node/src/test-support/index.ts
@@ -11,7 +11,7 @@
 import {GateAdmission} from '@fireflyglade/admission';
 import type {Connectivity} from '@fireflyglade/membership';
 import {
-	createFailureDomain, createNodeId, createRouteId, createServiceName, createTeamName, emptyConfiguration, InvalidInputError, SeededRandom, SystemClock,
+	announcementIntervalMilliseconds, createFailureDomain, createNodeId, createRouteId, createServiceName, createTeamName, emptyConfiguration, InvalidInputError, SeededRandom, SystemClock,
 	type Configuration, type Key, type KeyDigest, type KeyId, type RequestId, type Revision, type Route, type Target, type Team, type TeamName,
 } from '@fireflyglade/model';
 import type {ChargeOutcome} from '@fireflyglade/rates';
@@ -77,6 +77,8 @@
 /** What several nodes of a test share: configuration and announced targets. */
 export class SharedFleet {
 	readonly targets = new Map<string, Target>();
+	/** Gates that are reached by another URL than their own. */
+	readonly gateUrls = new Map<string, string>();
 	readonly withdrawn = new Set<KeyId>();
 	readonly refunded: RequestId[] = [];
 	readonly settled: RequestId[] = [];
@@ -118,7 +120,7 @@
 				if (target === undefined) {
 					this.targets.delete(node);
 				} else {
-					this.targets.set(node, target);
+					this.targets.set(node, {...target, gateUrl: this.gateUrls.get(node) ?? target.gateUrl});
 				}
 
 				this.notify();
@@ -250,7 +252,9 @@
 		const upstream = new RecordingUpstream();
 		await upstream.start();
 		this.#upstreams.push(upstream);
-		await announce(node, {service, address: upstream.address, slots});
+		const announced = {service, address: upstream.address, slots};
+		await announce(node, announced);
+		upstream.announceEvery(async () => announce(node, announced));
 		return upstream;
 	}
 
@@ -300,6 +304,7 @@
 	readonly received: ReceivedRequest[] = [];
 	handler: UpstreamHandler = answerReceived;
 	readonly #server: Server;
+	#announcements: NodeJS.Timeout | undefined;
 
 	constructor() {
 		this.#server = createServer({keepAliveTimeout: 60_000}, (message, response) => {
@@ -317,7 +322,24 @@
 		});
 	}
 
+	/** Announces itself again and again until it stops; a node that has stopped hears nothing. */
+	announceEvery(send: () => Promise<unknown>): void {
+		this.#announcements = setInterval(async () => {
+			try {
+				await send();
+			} catch {
+				clearInterval(this.#announcements);
+			}
+		}, announcementIntervalMilliseconds);
+	}
+
+	/** Announces itself no more. */
+	silence(): void {
+		clearInterval(this.#announcements);
+	}
+
 	async stop(): Promise<void> {
+		this.silence();
 		this.#server.closeAllConnections();
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
