--- a/packages/admission/src/gate-admission/index.ts
+++ b/packages/admission/src/gate-admission/index.ts
@@ -21,6 +21,8 @@
 /** Waiting requests that a gate keeps for each request that it may run. */
 const waitingPerRunning = 3;
 const minimumCapacity = 16;
+/** Time in which all that waits should have started. */
+const targetWaitMilliseconds = 250;
 /** Time for which something must wait without a break until the queue counts as standing. */
 const standingMilliseconds = 100;
 /** Mean deviations of the service time that a request must have left while the queue stands. */
@@ -71,14 +73,14 @@
 		return this.#wait(request, now);
 	}
 
-	finish(requestId: RequestId, outcome: RunOutcome, now: number): readonly AdmissionDecision[] {
+	finish(requestId: RequestId, outcome: RunOutcome, now: number, queuedBelowMilliseconds = 0): readonly AdmissionDecision[] {
 		const running = this.#running.get(requestId);
 		if (running === undefined) {
 			return [];
 		}
 
 		this.#running.delete(requestId);
-		this.#limit.finish({startedAt: running.startedAt, outcome}, this.#running.size, now);
+		this.#limit.finish({startedAt: running.startedAt, outcome, queuedBelowMilliseconds}, this.#running.size, now);
 		if (outcome === 'success' || outcome === 'timeout') {
 			this.#estimate.record(running.priority, now - running.startedAt, now);
 		}
@@ -203,12 +205,13 @@
 	}
 
 	#capacity(now: number): number {
-		return Math.max(minimumCapacity, waitingPerRunning * this.#limit.current(now));
+		const rounds = Math.min(waitingPerRunning, targetWaitMilliseconds / Math.max(1, this.#estimate.overall(now)));
+		return Math.max(minimumCapacity, rounds * this.#limit.current(now));
 	}
 
 	#retryAfter(now: number): number {
 		const rounds = this.#room.size / this.#limit.current(now);
-		const expected = rounds * this.#estimate.at(lowestPriority, 0, now);
+		const expected = rounds * this.#estimate.overall(now);
 		return Math.round(Math.min(maximumRetryAfterMilliseconds, Math.max(minimumRetryAfterMilliseconds, expected)));
 	}
 
