Bound what gossip repeats

Cause: in a trial with 360 members, each node sent 3.3 KB a second 15 s after the start, as 360 rumors waited for their turns; and every node would have sent its whole table to a dead member's address every 2 s.

Change: a rumor is sent for 10 s at most, as digests find what it missed. A request for a peer's state no longer carries the own one, and a dead member is probed by a few nodes of its domain at a time.

--- a/packages/membership/src/_lib/constants.ts
+++ b/packages/membership/src/_lib/constants.ts
@@ -20,12 +20,16 @@
 export const pushFanout = 3;
 /** Times that a rumor is sent, for each doubling of the number of members. */
 export const rumorRepeatsPerDoubling = 3;
+/** Milliseconds after which a rumor is no longer sent. */
+export const rumorLifeMilliseconds = 10_000;
 /** Rumors of one message at most. */
 export const rumorsPerMessage = 24;
 /** Nodes of a domain that exchange probes with other domains. */
 export const gatewayCount = 3;
 /** Milliseconds between two attempts to reach a seed or a silent member. */
 export const rejoinIntervalMilliseconds = 2000;
+/** Nodes of a domain that probe a dead member in one such interval, on average. */
+export const rejoiningNodes = 4;
 /** Milliseconds between two requests for the whole state of a peer. */
 export const synchronizationIntervalMilliseconds = 1000;
 /** Milliseconds after which a domain or the quorum that was not heard of counts as silent. */
--- a/packages/membership/src/gossip-membership/index.ts
+++ b/packages/membership/src/gossip-membership/index.ts
@@ -10,7 +10,7 @@
 	type Configuration, type FailureDomain, type GateLevel, type KeyId, type NodeId, SeededRandom, type Target, UnreachableError,
 } from '@fireflyglade/model';
 import {
-	indirectProbeCount, leaseMilliseconds, probeIntervalMilliseconds, pushFanout, rejoinIntervalMilliseconds, suspicionMilliseconds,
+	indirectProbeCount, leaseMilliseconds, probeIntervalMilliseconds, pushFanout, rejoiningNodes, rejoinIntervalMilliseconds, suspicionMilliseconds,
 	synchronizationIntervalMilliseconds,
 } from '../_lib/constants.js';
 import type {
@@ -112,7 +112,7 @@
 
 	withdrawKeys(keys: readonly KeyId[], now: number): MembershipActions {
 		this.#now = now;
-		this.#knowledge.withdraw(keys);
+		this.#knowledge.withdraw(keys, now);
 		return this.#takeActions();
 	}
 
@@ -181,8 +181,7 @@
 	}
 
 	#send(toAddress: string, body: Body): void {
-		const isWhole = body.kind === 'state' || body.kind === 'synchronize';
-		const envelope = this.#knowledge.envelopeFor(toAddress, isWhole, this.#now);
+		const envelope = this.#knowledge.envelopeFor(toAddress, body.kind, this.#now);
 		const payload: Payload = {envelope, body};
 		const {node, rpcAddress} = this.#knowledge.self;
 		this.#messages.push({
@@ -385,24 +384,28 @@
 		return chosen;
 	}
 
-	/** Reaches for seeds that were never heard and for members that fell silent. */
+	/** Reaches for seeds that were never heard and, a few nodes of a domain at a time, for members that fell silent. */
 	#join(): void {
 		if (this.#now < this.#nextJoinAt) {
 			return;
 		}
 
 		this.#nextJoinAt = this.#now + rejoinIntervalMilliseconds;
-		const {table} = this.#knowledge;
-		const addresses = new Set(this.#seeds.filter(seed => !this.#heardSeeds.has(seed)));
-		for (const {state, description} of table.records()) {
-			if (state === 'dead') {
-				addresses.add(description.rpcAddress);
-			}
+		const [seed] = shuffle(this.#seeds.filter(address => !this.#heardSeeds.has(address)), this.#random);
+		if (seed !== undefined) {
+			this.#send(seed, {kind: 'synchronize'});
 		}
 
-		const [address] = shuffle([...addresses], this.#random);
-		if (address !== undefined) {
-			this.#send(address, {kind: 'synchronize'});
+		if (this.#random.nextInteger(this.#neighbours().length + 1) < rejoiningNodes) {
+			this.#probeDead();
+		}
+	}
+
+	#probeDead(): void {
+		const dead = [...this.#knowledge.table.records()].filter(({state}) => state === 'dead');
+		const [record] = shuffle(dead, this.#random);
+		if (record !== undefined) {
+			this.#send(record.description.rpcAddress, {kind: 'probe', sequence: 0});
 		}
 	}
 
@@ -446,7 +449,7 @@
 			const reached = Math.min(lease.majorityRevision, configuration.revision) as typeof configuration.revision;
 			this.#knowledge.noteLease({
 				role, domain, holder, fencing: lease.fencing, revision: reached,
-			});
+			}, this.#now);
 		}
 
 		if (role === 'holder') {
--- a/packages/membership/src/knowledge/index.ts
+++ b/packages/membership/src/knowledge/index.ts
@@ -8,7 +8,7 @@
 	type Configuration, emptyConfiguration, type FailureDomain, type GateLevel, type KeyId, type NodeId, type Target, UnreachableError,
 } from '@fireflyglade/model';
 import type {
-	DomainDigest, Envelope, LeaseNotice, MemberDescription, MemberRecord, Rumor,
+	Body, DomainDigest, Envelope, LeaseNotice, MemberDescription, MemberRecord, Rumor,
 } from '../_lib/messages.js';
 import {leastPulseMilliseconds, pulseMillisecondsPerMember} from '../_lib/constants.js';
 import {ConnectivityEvidence} from '../connectivity-evidence/index.js';
@@ -117,7 +117,7 @@
 			node: this.node, incarnation: this.#incarnation, sequence: this.#pulseSequence, revision, ...(level !== undefined && {level}),
 		};
 		this.table.mergePulse(pulse);
-		this.#rumors.add({kind: 'pulse', pulse});
+		this.#rumors.add({kind: 'pulse', pulse}, now);
 	}
 
 	/** Changes a member's state as seen here. */
@@ -126,7 +126,7 @@
 	}
 
 	/** Adds withdrawn keys. */
-	withdraw(keys: readonly KeyId[]): void {
+	withdraw(keys: readonly KeyId[], now: number): void {
 		const added = keys.filter(key => !this.withdrawn.has(key));
 		if (added.length === 0) {
 			return;
@@ -136,18 +136,18 @@
 			this.withdrawn.add(key);
 		}
 
-		this.#rumors.add({kind: 'withdrawn', keys: added});
+		this.#rumors.add({kind: 'withdrawn', keys: added}, now);
 		this.#events.push({kind: 'keys-withdrawn', keys: added});
 		this.#isUrgent = true;
 	}
 
 	/** Takes over word of a leased role. */
-	noteLease(lease: LeaseNotice): void {
+	noteLease(lease: LeaseNotice, now: number): void {
 		if (!this.board.merge(lease)) {
 			return;
 		}
 
-		this.#rumors.add({kind: 'lease', lease});
+		this.#rumors.add({kind: 'lease', lease}, now);
 		this.#isUrgent = true;
 		if (lease.role === 'holder') {
 			this.#events.push({kind: 'holders-changed'});
@@ -162,7 +162,7 @@
 	}
 
 	/** Writes the part that rides on a message to `address`. */
-	envelopeFor(address: string, isWhole: boolean, now: number): Envelope {
+	envelopeFor(address: string, kind: Body['kind'], now: number): Envelope {
 		const quorumAge = this.evidence.quorumAge(now);
 		return {
 			sender: this.node,
@@ -171,7 +171,7 @@
 			...(quorumAge !== undefined && {quorumAgeMilliseconds: quorumAge}),
 			domains: this.#digests(now),
 			withdrawnCount: this.withdrawn.size,
-			rumors: isWhole ? this.#wholeState() : this.#rumorsFor(address),
+			rumors: this.#rumorsOf(kind, address, now),
 		};
 	}
 
@@ -194,10 +194,19 @@
 		return targets;
 	}
 
-	#rumorsFor(address: string): Rumor[] {
+	#rumorsOf(kind: Body['kind'], address: string, now: number): Rumor[] {
+		if (kind === 'state') {
+			return this.#wholeState();
+		}
+
+		const rumors = this.#rumorsFor(address, now);
+		return kind === 'synchronize' ? [{kind: 'member', record: this.selfRecord()}, ...rumors] : rumors;
+	}
+
+	#rumorsFor(address: string, now: number): Rumor[] {
 		const receiver = this.recordAt(address);
 		const isNeighbour = receiver?.description.domain === this.domain;
-		const rumors = this.#rumors.take(this.table.present(this.domain).length, isNeighbour);
+		const rumors = this.#rumors.take(this.table.present(this.domain).length, isNeighbour, now);
 		if (receiver !== undefined && receiver.state !== 'alive') {
 			rumors.unshift({kind: 'member', record: receiver});
 		}
@@ -238,19 +247,19 @@
 
 			case 'pulse': {
 				if (this.table.mergePulse(rumor.pulse)) {
-					this.#rumors.add(rumor);
+					this.#rumors.add(rumor, now);
 				}
 
 				return;
 			}
 
 			case 'lease': {
-				this.noteLease(rumor.lease);
+				this.noteLease(rumor.lease, now);
 				return;
 			}
 
 			case 'withdrawn': {
-				this.withdraw(rumor.keys);
+				this.withdraw(rumor.keys, now);
 				return;
 			}
 
@@ -290,7 +299,7 @@
 		}
 
 		this.#nodeByAddress.set(rpcAddress, node);
-		this.#rumors.add({kind: 'member', record});
+		this.#rumors.add({kind: 'member', record}, now);
 		this.#isUrgent = true;
 		this.#events.push({kind: 'members-changed'});
 		const wasPresent = before !== undefined && isPresent(before.state);
--- a/packages/membership/src/rumor-queue/index.ts
+++ b/packages/membership/src/rumor-queue/index.ts
@@ -2,14 +2,16 @@
 The queue of news that rides on messages.
 
 Each rumor is sent a number of times that grows with the logarithm of the
-number of members; the ones sent least often go first.
+number of members, and for a limited time, as digests find what it missed; the
+ones sent least often go first.
 */
 
-import {rumorRepeatsPerDoubling, rumorsPerMessage} from '../_lib/constants.js';
+import {rumorLifeMilliseconds, rumorRepeatsPerDoubling, rumorsPerMessage} from '../_lib/constants.js';
 import type {Rumor} from '../_lib/messages.js';
 
 type QueuedRumor = {
 	readonly rumor: Rumor;
+	readonly until: number;
 	timesSent: number;
 };
 
@@ -39,12 +41,12 @@
 	readonly #queued = new Map<string, QueuedRumor>();
 
 	/** Adds news; older news on the same subject is dropped. */
-	add(rumor: Rumor): void {
-		this.#queued.set(subjectOf(rumor), {rumor, timesSent: 0});
+	add(rumor: Rumor, now: number): void {
+		this.#queued.set(subjectOf(rumor), {rumor, until: now + rumorLifeMilliseconds, timesSent: 0});
 	}
 
 	/** Takes the rumors for one message to a peer, of which `pulses` says whether it shares the domain. */
-	take(memberCount: number, pulses: boolean): Rumor[] {
+	take(memberCount: number, pulses: boolean, now: number): Rumor[] {
 		const limit = rumorRepeatsPerDoubling * Math.ceil(Math.log2(memberCount + 1));
 		const chosen: Rumor[] = [];
 		const bySent = [...this.#queued].toSorted(([, first], [, second]) => first.timesSent - second.timesSent);
@@ -53,6 +55,11 @@
 				break;
 			}
 
+			if (queued.until <= now) {
+				this.#queued.delete(subject);
+				continue;
+			}
+
 			if (queued.rumor.kind === 'pulse' && !pulses) {
 				continue;
 			}
