Apply changes in place and save only what is new

Cause: each change copied a whole map, so 5,000 changes took 3.3 s to apply, and a save encoded every claim again: 3.8 s at 500,000 claims, during which a leader sends no heartbeat.

Change: the state machine changes its own maps and copies the changed parts only when the configuration is asked for; saved records keep their binary form; at most 100,000 claims are kept by default. The pure applyConfigurationChange is as before.

--- a/packages/state/src/configuration-state-machine/index.ts
+++ b/packages/state/src/configuration-state-machine/index.ts
@@ -15,7 +15,8 @@
 import {ClaimTable, type ClaimBounds, type ClaimRecord} from '../_lib/claim-table.js';
 import {CommandResults, digestChange, type KeptResult} from '../_lib/command-results.js';
 import {decodeValue, encodeValue} from '../_lib/codec.js';
-import {applyConfigurationChange} from '../apply-configuration-change/index.js';
+import {EncodingCache} from '../_lib/encoding-cache.js';
+import {WorkingConfiguration} from '../_lib/working-configuration.js';
 import {StateFormatError} from '../errors/index.js';
 import type {
 	ChangeRefusal, Command, CommandResult, StateMachine,
@@ -42,7 +43,7 @@
 export const defaultStateMachineOptions: StateMachineOptions = {
 	maximumChanges: 20_000,
 	maximumResults: 20_000,
-	maximumClaims: 500_000,
+	maximumClaims: 100_000,
 	claimRetentionMilliseconds: 86_400_000,
 	runningLimitMilliseconds: 3_600_000,
 	maximumAnswerBytes: 67_108_864,
@@ -63,9 +64,9 @@
 type SavedState = {
 	readonly kind: 'state';
 	readonly configuration: SavedConfiguration;
-	readonly changes: readonly AcceptedChange[];
-	readonly results: readonly KeptResult[];
-	readonly claims: readonly ClaimRecord[];
+	readonly changes: readonly Uint8Array[];
+	readonly results: readonly Uint8Array[];
+	readonly claims: readonly Uint8Array[];
 	readonly elapsedMilliseconds: number;
 	readonly lastAt: number | undefined;
 };
@@ -98,10 +99,13 @@
 	}
 
 	readonly #options: StateMachineOptions;
-	#configuration: Configuration = emptyConfiguration;
+	#configuration = new WorkingConfiguration(emptyConfiguration);
 	#changes: AcceptedChange[] = [];
 	#results: CommandResults;
 	#claims: ClaimTable;
+	readonly #changeEncodings = new EncodingCache<AcceptedChange>();
+	readonly #resultEncodings = new EncodingCache<KeptResult>();
+	readonly #claimEncodings = new EncodingCache<ClaimRecord>();
 	#elapsedMilliseconds = 0;
 	#lastAt: number | undefined;
 
@@ -134,7 +138,7 @@
 	}
 
 	configuration(): Configuration {
-		return this.#configuration;
+		return this.#configuration.publish();
 	}
 
 	changesAfter(revision: Revision): readonly AcceptedChange[] | undefined {
@@ -161,7 +165,7 @@
 	}
 
 	save(): Uint8Array {
-		const configuration = this.#configuration;
+		const configuration = this.#configuration.publish();
 		return encodeValue({
 			kind: 'state',
 			configuration: {
@@ -172,26 +176,26 @@
 				domains: [...configuration.domains],
 				drainedUpstreams: [...configuration.drainedUpstreams],
 			},
-			changes: this.#changes,
-			results: this.#results.all(),
-			claims: this.#claims.records(),
+			changes: this.#changeEncodings.encodeAll(this.#changes),
+			results: this.#resultEncodings.encodeAll(this.#results.all()),
+			claims: this.#claimEncodings.encodeAll(this.#claims.records()),
 			elapsedMilliseconds: this.#elapsedMilliseconds,
 			lastAt: this.#lastAt,
 		});
 	}
 
 	#restore(saved: SavedState): void {
-		this.#configuration = {
+		this.#configuration = new WorkingConfiguration({
 			revision: saved.configuration.revision,
 			teams: new Map(saved.configuration.teams),
 			keys: new Map(saved.configuration.keys),
 			routes: new Map(saved.configuration.routes),
 			domains: new Map(saved.configuration.domains),
 			drainedUpstreams: new Set(saved.configuration.drainedUpstreams),
-		};
-		this.#changes = [...saved.changes];
-		this.#results = new CommandResults(this.#options.maximumResults, saved.results);
-		this.#claims = new ClaimTable(this.#options, saved.claims);
+		});
+		this.#changes = [...this.#changeEncodings.decodeAll(saved.changes)];
+		this.#results = new CommandResults(this.#options.maximumResults, this.#resultEncodings.decodeAll(saved.results));
+		this.#claims = new ClaimTable(this.#options, this.#claimEncodings.decodeAll(saved.claims));
 		this.#elapsedMilliseconds = saved.elapsedMilliseconds;
 		this.#lastAt = saved.lastAt;
 	}
@@ -225,12 +229,11 @@
 		}
 
 		const nextRevision = (revision + 1) as Revision;
-		const result = applyConfigurationChange(this.#configuration, command.change, nextRevision);
-		if (result.kind === 'refused') {
-			return result;
+		const refusal = this.#configuration.apply(command.change, nextRevision);
+		if (refusal !== undefined) {
+			return refused(refusal);
 		}
 
-		this.#configuration = result.configuration;
 		this.#keepChange({
 			revision: nextRevision, change: command.change, acceptedAt: command.at, operator: command.operator,
 		});
--- a/packages/state/src/configuration-state-machine/test.ts
+++ b/packages/state/src/configuration-state-machine/test.ts
@@ -104,6 +104,16 @@
 		expect(machine.changesAfter(8 as Revision)).to.equal(undefined);
 	});
 
+	it('leaves a configuration that it gave out as it was', () => {
+		const machine = new ConfigurationStateMachine();
+		machine.apply(change('c1', createTeam('north')));
+		const before = machine.configuration();
+		machine.apply(change('c2', {kind: 'delete-team', name: createTeamName('north')}));
+		expect([before.revision, before.teams.size]).to.deep.equal([1, 1]);
+		expect([machine.configuration().revision, machine.configuration().teams.size]).to.deep.equal([2, 0]);
+		expect(machine.configuration().routes).to.equal(before.routes);
+	});
+
 	it('forgets the oldest results past the bound', () => {
 		const machine = new ConfigurationStateMachine({maximumResults: 1});
 		machine.apply(change('c1', createTeam('north')));
