--- a/packages/node/src/test-support/index.ts
+++ b/packages/node/src/test-support/index.ts
@@ -7,18 +7,21 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
 import {GateAdmission} from '@fireflyglade/admission';
 import type {Connectivity} from '@fireflyglade/membership';
 import {
-	createFailureDomain, createNodeId, createRouteId, createServiceName, createTeamName, emptyConfiguration, SeededRandom, SystemClock,
+	announcementIntervalMilliseconds, createFailureDomain, createNodeId, createRouteId, createServiceName, createTeamName, emptyConfiguration, InvalidInputError, SeededRandom, SystemClock,
 	type Configuration, type Key, type KeyDigest, type KeyId, type RequestId, type Revision, type Route, type Target, type Team, type TeamName,
 } from '@fireflyglade/model';
 import type {ChargeOutcome} from '@fireflyglade/rates';
 import {NodeRetryBudget, TargetRouting} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import type {ClaimOutcome, ClaimRequest, ClaimResult} from '@fireflyglade/state';
-import type {OutcomeAnswer, OutcomeQuestion, TeamFigures} from '@fireflyglade/transport';
+import {
+	parseAddress,
+	type OutcomeAnswer, type OutcomeQuestion, type TeamFigures,
+} from '@fireflyglade/transport';
 import {request} from 'undici';
 import {createNode, type RunningNode} from '../create-node/index.js';
 import type {
@@ -74,6 +77,8 @@
 /** What several nodes of a test share: configuration and announced targets. */
 export class SharedFleet {
 	readonly targets = new Map<string, Target>();
+	/** Gates that are reached by another URL than their own. */
+	readonly gateUrls = new Map<string, string>();
 	readonly withdrawn = new Set<KeyId>();
 	readonly refunded: RequestId[] = [];
 	readonly settled: RequestId[] = [];
@@ -115,7 +120,7 @@
 				if (target === undefined) {
 					this.targets.delete(node);
 				} else {
-					this.targets.set(node, target);
+					this.targets.set(node, {...target, gateUrl: this.gateUrls.get(node) ?? target.gateUrl});
 				}
 
 				this.notify();
@@ -198,7 +203,7 @@
 		limits: {
 			maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000_000, maximumPathBytes: 2048, maximumConnections: 1000,
 		},
-		shutdownTimeoutMilliseconds: 4000,
+		shutdownTimeoutMilliseconds: 200,
 		log: {level: 'error', format: 'json'},
 		...change,
 	};
@@ -247,7 +252,9 @@
 		const upstream = new RecordingUpstream();
 		await upstream.start();
 		this.#upstreams.push(upstream);
-		await announce(node, {service, address: upstream.address, slots});
+		const announced = {service, address: upstream.address, slots};
+		await announce(node, announced);
+		upstream.announceEvery(async () => announce(node, announced));
 		return upstream;
 	}
 
@@ -297,6 +304,7 @@
 	readonly received: ReceivedRequest[] = [];
 	handler: UpstreamHandler = answerReceived;
 	readonly #server: Server;
+	#announcements: NodeJS.Timeout | undefined;
 
 	constructor() {
 		this.#server = createServer({keepAliveTimeout: 60_000}, (message, response) => {
@@ -314,7 +322,24 @@
 		});
 	}
 
+	/** Announces itself again and again until it stops; a node that has stopped hears nothing. */
+	announceEvery(send: () => Promise<unknown>): void {
+		this.#announcements = setInterval(async () => {
+			try {
+				await send();
+			} catch {
+				clearInterval(this.#announcements);
+			}
+		}, announcementIntervalMilliseconds);
+	}
+
+	/** Announces itself no more. */
+	silence(): void {
+		clearInterval(this.#announcements);
+	}
+
 	async stop(): Promise<void> {
+		this.silence();
 		this.#server.closeAllConnections();
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
@@ -367,3 +392,29 @@
 		});
 	}
 }
+
+/** Writes raw bytes to a listener and returns all that it answers before it closes. */
+export async function exchangeRaw(address: string, text: string): Promise<string> {
+	const {host, port} = parseAddress(address);
+	return new Promise((resolve, reject) => {
+		const socket = connect(port, host);
+		let answer = '';
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			answer += chunk;
+		});
+		socket.on('error', () => {
+			resolve(answer);
+		});
+		socket.on('close', () => {
+			resolve(answer);
+		});
+		socket.on('connect', () => {
+			socket.write(text, 'latin1');
+		});
+		socket.setTimeout(3000, () => {
+			socket.destroy();
+			reject(new InvalidInputError(`the listener neither answered nor closed; so far: ${answer}`));
+		});
+	});
+}
--- a/packages/scenario/src/bench/overload/_lib/vm-process/index.ts
+++ b/packages/scenario/src/bench/overload/_lib/vm-process/index.ts
@@ -80,7 +80,7 @@
 			shutdownTimeoutMilliseconds: shutdownSeconds * millisecondsInSecond,
 			log: {level: 'error', format: 'json'},
 		},
-		fleetToken: 'token-of-the-bench',
+		credentials: {kind: 'token', token: 'token-of-the-bench'},
 		rpcAddress: settings.name,
 		fleet,
 		createAdmission: options => new GateAdmission(options),
