--- a/packages/rates/src/_lib/constants.ts
+++ b/packages/rates/src/_lib/constants.ts
@@ -14,8 +14,12 @@
 export const askTimeoutMilliseconds = 150;
 /** Milliseconds that a charge waits at most. */
 export const chargeTimeoutMilliseconds = 600;
-/** Milliseconds after a round of refusals in which no holder is asked. */
+/** Milliseconds after a first round of refusals in which no holder is asked. */
 export const dryMilliseconds = 20;
+/** The longest such time after many rounds. */
+export const longestDryMilliseconds = 160;
+/** Part of the time in which a burst fills that a node waits at most. */
+export const dryShareOfFilling = 1 / 8;
 /** Milliseconds after which spent tokens are reported, if no request for more carried the report. */
 export const reportMilliseconds = 300;
 /** Part of a domain's burst that one node leaves unreported at most. */
--- a/packages/rates/src/team-account/index.ts
+++ b/packages/rates/src/team-account/index.ts
@@ -8,7 +8,7 @@
 	millisecondsInSecond, type FailureDomain, type FencingNumber, type NodeId, type RequestId, type TeamName,
 } from '@fireflyglade/model';
 import {
-	askTimeoutMilliseconds, chargeTimeoutMilliseconds, dryMilliseconds, idleLoanMilliseconds, leastPrefetchTokens, loanMilliseconds, partsInToken,
+	askTimeoutMilliseconds, chargeTimeoutMilliseconds, dryMilliseconds, dryShareOfFilling, idleLoanMilliseconds, leastPrefetchTokens, loanMilliseconds, longestDryMilliseconds, partsInToken,
 	prefetchDemandPerSecond, prefetchMilliseconds, prefetchPauseMilliseconds, prefetchShareOfBurst, reportMilliseconds, reserveShare, unreportedShare, usableMilliseconds,
 } from '../_lib/constants.js';
 import type {Ask, Grant} from '../_lib/messages.js';
@@ -68,6 +68,8 @@
 	/** The request that the round waits for. */
 	#current?: PendingAsk;
 	#dryUntil = Number.NEGATIVE_INFINITY;
+	/** Rounds in a row that ended empty. */
+	#dryRounds = 0;
 	#prefetchedAt = Number.NEGATIVE_INFINITY;
 	#reportedAt: number;
 
@@ -201,6 +203,7 @@
 		}
 
 		if (served > 0) {
+			this.#dryRounds = 0;
 			this.#waiting = this.#waiting.slice(served);
 		}
 	}
@@ -218,11 +221,19 @@
 		this.#waiting = kept;
 	}
 
+	/** Doubles with each round that ended empty, up to a part of the time in which the burst fills, so that no bucket overflows meanwhile. */
+	#dryPause(): number {
+		const {ratePerSecond = 1, burst = 1} = this.#context.book.configuration.teams.get(this.#team) ?? {};
+		const limit = Math.min(longestDryMilliseconds, dryShareOfFilling * millisecondsInSecond * burst / ratePerSecond);
+		return Math.max(dryMilliseconds, Math.min(limit, dryMilliseconds * (2 ** this.#dryRounds)));
+	}
+
 	/** Refuses what waits after every holder was asked, and gives fractions back for others to use. */
 	#endRound(now: number): void {
 		this.#tried.clear();
 		if (now >= this.#dryUntil) {
-			this.#dryUntil = now + dryMilliseconds;
+			this.#dryUntil = now + this.#dryPause();
+			this.#dryRounds++;
 		}
 
 		this.#refuseWaiting(() => true, now);
--- a/packages/scenario/src/bench/rates/_lib/fleet.ts
+++ b/packages/scenario/src/bench/rates/_lib/fleet.ts
@@ -7,7 +7,7 @@
 	createFailureDomain, createNodeId, emptyConfiguration, SystemClock,
 	type Configuration, type DomainSettings, type FailureDomain, type NodeId, type Revision, type Team,
 } from '@fireflyglade/model';
-import {FleetRuntime} from '@fireflyglade/node';
+import {fetchConfigurationMethod, FleetRuntime} from '@fireflyglade/node';
 import {GrpcRpcClient, GrpcRpcServer, reportMethod} from '@fireflyglade/transport';
 import {BenchTimeoutError} from './errors.js';
 import {LinkedClient, type Links} from './links.js';
@@ -16,6 +16,7 @@
 const pollMilliseconds = 10;
 const startLimitMilliseconds = 15_000;
 const witnessCount = 3;
+const bareCalls = 200;
 const settleMilliseconds = 500;
 
 /** One node of the fleet. */
@@ -92,6 +93,23 @@
 		await until('the teams', () => this.nodes.every(({fleet, isStopped}) => isStopped || fleet.configuration().revision === revision));
 	}
 
+	/** Quantiles of a bare remote call to one node, in milliseconds, for comparison. */
+	async measureBareCalls(): Promise<{readonly p50: number; readonly p83: number; readonly p99: number}> {
+		const client = new GrpcRpcClient(credentials);
+		const {rpcAddress, fleet} = this.nodes[0]!;
+		const samples: number[] = [];
+		for (let call = 0; call < bareCalls; call++) {
+			const start = performance.now();
+			await client.call(fetchConfigurationMethod, rpcAddress, {after: fleet.configuration().revision}, {timeoutMilliseconds: startLimitMilliseconds});
+			samples.push(performance.now() - start);
+		}
+
+		client.close();
+		samples.sort((first, second) => first - second);
+		const quantile = (share: number): number => samples[Math.floor(share * (bareCalls - 1))]!;
+		return {p50: quantile(0.5), p83: quantile(0.83), p99: quantile(0.99)};
+	}
+
 	/** Waits until loans of earlier teams have ended and new teams are full. */
 	async settle(): Promise<void> {
 		await new Promise(resolve => {
--- a/packages/scenario/src/bench/rates/index.ts
+++ b/packages/scenario/src/bench/rates/index.ts
@@ -89,7 +89,7 @@
 	const nodeCount = domainCount * nodesPerDomain;
 	const phases: PhaseResult[] = [];
 	await fleet.start(domainCount, nodesPerDomain);
-	const idle = await measureIdle(links, nodeCount);
+	const idle = {...await measureIdle(links, nodeCount), bareCallMilliseconds: await fleet.measureBareCalls()};
 	let phase = 0;
 	let request = 0;
 	const charge: Charger = async (team, node) => {
