--- a/packages/node/src/_lib/route-table/index.ts
+++ b/packages/node/src/_lib/route-table/index.ts
@@ -10,7 +10,7 @@
 import {toNodeHandler} from 'h3/node';
 import {createRouteId, type Configuration, type Route} from '@fireflyglade/model';
 
-/** Serves a request that has found its route; `undefined` if there is none. Settles when the answer has ended. */
+/** Serves a request that has found its route; the handler writes the whole answer. */
 export type RouteHandler = (request: IncomingMessage, response: ServerResponse, route: RouteMatch) => void;
 
 /** The result of looking for a route. */
@@ -20,8 +20,17 @@
 	| {readonly kind: 'other-method'}
 	| {readonly kind: 'none'};
 
-/** Marks in `h3` that the answer was written to the Node response. */
-const answerWritten = Symbol.for('h3.handled');
+/**
+Told to the router in place of a web response, as the answer is written to the
+Node response. Were it settled, the router would try to write an answer of its
+own after it, at the cost of an error for every call.
+*/
+async function neverSettle(): Promise<never> {
+	return new Promise(() => {
+		// Stays pending, and goes with the request.
+	});
+}
+
 const noRoute: RouteMatch = {kind: 'none'};
 const otherMethod: RouteMatch = {kind: 'other-method'};
 
@@ -48,15 +57,10 @@
 	return toNodeHandler(router);
 }
 
-function serveWith(match: RouteMatch, handler: RouteHandler): (event: H3Event) => Promise<symbol> {
+function serveWith(match: RouteMatch, handler: RouteHandler): (event: H3Event) => Promise<never> {
 	return async event => {
 		const {req: request, res: response} = event.runtime!.node as unknown as {req: IncomingMessage; res: ServerResponse};
-		const ended = new Promise<symbol>(resolve => {
-			response.once('close', () => {
-				resolve(answerWritten);
-			});
-		});
 		handler(request, response, match);
-		return ended;
+		return neverSettle();
 	};
 }
