Give the slot back before a claim is committed, and refuse at once without a quorum

Cause: a request with an idempotency key held its slot at the upstream until its claim was committed: without a quorum up to 6 s before it ran and up to 32 s after it was answered, so a control outage would have starved the gate of slots for all other requests. Change: the slot goes back when the upstream has answered; the end of the answer waits at most 2 s for the commit. A node that found no quorum refuses further claims at once for a second. Conclusion: at most once is as before; the outage is bounded.

--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -30,6 +30,7 @@
 
 const firstFailureStatus = 500;
 const claimRetryMilliseconds = 1000;
+const claimCommitWaitMilliseconds = 2000;
 const draining: Problem = {
 	code: 'draining', outcome: 'not-run', detail: 'the upstream takes no new work', retryAfterMilliseconds: 0,
 };
@@ -161,11 +162,9 @@
 			return;
 		}
 
-		this.#stage = 'ended';
-		void this.#finishClaim(this.#recorder.outcome(), () => {
-			this.#finish(outcome);
-			this.#receiver.onEnd(trailers);
-		});
+		const claimOutcome = this.#recorder.outcome();
+		this.#finish(outcome);
+		void this.#endOnceCommitted(claimOutcome, trailers);
 	}
 
 	onFailure(failure: SendFailure): void {
@@ -393,6 +392,22 @@
 		this.#gate.apply(this.#upstream!.admission.finish(this.call.context.requestId, outcome, now, this.#running?.queuedMilliseconds));
 	}
 
+	/**
+	Ends the answer once its claim is committed, so that a resend right after it gets
+	the stored answer. Without a quorum the whole answer goes out all the same: a
+	resend is then told that the job still runs, and nothing runs twice.
+	*/
+	async #endOnceCommitted(outcome: ClaimOutcome, trailers: HeaderFields): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timer = this.#gate.options.clock.startTimer(claimCommitWaitMilliseconds, resolve);
+			void this.#finishClaim(outcome, () => {
+				timer.cancel();
+				resolve();
+			});
+		});
+		this.#receiver.onEnd(trailers);
+	}
+
 	async #finishClaim(outcome: ClaimOutcome, done?: () => void): Promise<void> {
 		try {
 			await this.#gate.options.claims.finish(this.#claimRequest(), outcome);
--- a/packages/node/src/control-claims/index.ts
+++ b/packages/node/src/control-claims/index.ts
@@ -30,6 +30,7 @@
 };
 
 const callTimeoutMilliseconds = 2000;
+const unavailablePauseMilliseconds = 1000;
 const finishTries = 5;
 const finishPauseMilliseconds = 500;
 
@@ -38,13 +39,26 @@
 	readonly #options: ControlClaimsOptions;
 	/** The control process that answered last. */
 	#preferred = 0;
+	/** Monotonic milliseconds before which no claim is begun. */
+	#unavailableUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(options: ControlClaimsOptions) {
 		this.#options = options;
 	}
 
+	/**
+	Claims a job.
+
+	@throws {ClaimError} No quorum took the claim, or none did a moment ago: a request
+	that waits for a claim holds a slot of the upstream, so it is refused at once then.
+	*/
 	async begin(claim: ClaimRequest): Promise<ClaimResult> {
-		const result = await this.#submit({kind: 'begin-claim', claim, at: this.#options.clock.wallNow()});
+		const {clock} = this.#options;
+		if (clock.now() < this.#unavailableUntil) {
+			throw new ClaimError('no quorum of the control processes took a claim lately');
+		}
+
+		const result = await this.#beginOnce({kind: 'begin-claim', claim, at: clock.wallNow()});
 		if (result.kind !== 'claim') {
 			throw new ClaimError(`a claim was answered with ${result.kind}`);
 		}
@@ -70,6 +84,15 @@
 		}
 	}
 
+	async #beginOnce(command: Command): Promise<CommandResult> {
+		try {
+			return await this.#submit(command);
+		} catch (error: unknown) {
+			this.#unavailableUntil = this.#options.clock.now() + unavailablePauseMilliseconds;
+			throw error;
+		}
+	}
+
 	/** Asks one control process after the other; a command that arrives twice has one effect. */
 	async #submit(command: Command): Promise<CommandResult> {
 		const {control} = this.#options;
--- /dev/null
+++ b/packages/node/src/control-claims/test.ts
@@ -0,0 +1,70 @@
+import {expect} from 'chai';
+import {
+	createNodeId, createTeamName, ManualClock, type JobKey, type RequestId,
+} from '@fireflyglade/model';
+import type {ClaimRequest} from '@fireflyglade/state';
+import {
+	encodeMessage, RpcError, type RpcClient, type RpcMethod,
+} from '@fireflyglade/transport';
+import {ClaimError, ControlClaims} from './index.js';
+
+const claim: ClaimRequest = {
+	team: createTeamName('crews'), job: 'order-1' as JobKey, requestId: 'request-1' as RequestId, gate: createNodeId('node-1'), gateIncarnation: 'first', fingerprint: 'abc',
+};
+
+type Script = {readonly client: RpcClient; readonly asked: string[]; readonly silent: Set<string>};
+
+/** A client to which the addresses in `silent` don't answer; the others grant every claim. */
+function scriptClient(): Script {
+	const asked: string[] = [];
+	const silent = new Set<string>();
+	const granted: unknown = {kind: 'result', result: encodeMessage({kind: 'claim', result: {kind: 'granted'}})};
+	const client: RpcClient = {
+		async call<Request, Response>(_method: RpcMethod<Request, Response>, address: string): Promise<Response> {
+			asked.push(address);
+			if (silent.has(address)) {
+				throw new RpcError('timeout', 'no answer');
+			}
+
+			return granted as Response;
+		},
+		close() {
+			asked.length = 0;
+		},
+	};
+	return {client, asked, silent};
+}
+
+async function errorOf(promise: Promise<unknown>): Promise<unknown> {
+	try {
+		await promise;
+	} catch (error: unknown) {
+		return error;
+	}
+
+	return undefined;
+}
+
+describe('ControlClaims', () => {
+	it('asks the next control process where one does not answer, and stays with it', async () => {
+		const {client, asked, silent} = scriptClient();
+		const claims = new ControlClaims({client, control: ['a', 'b'], clock: new ManualClock()});
+		silent.add('a');
+		expect(await claims.begin(claim)).to.deep.equal({kind: 'granted'});
+		expect(await claims.begin(claim)).to.deep.equal({kind: 'granted'});
+		expect(asked).to.deep.equal(['a', 'b', 'b']);
+	});
+
+	it('refuses at once for a second after no control process answered, then asks again', async () => {
+		const {client, asked, silent} = scriptClient();
+		const clock = new ManualClock();
+		const claims = new ControlClaims({client, control: ['a', 'b'], clock});
+		silent.add('a').add('b');
+		expect(await errorOf(claims.begin(claim))).to.be.instanceOf(ClaimError);
+		expect(await errorOf(claims.begin(claim))).to.be.instanceOf(ClaimError);
+		expect(asked).to.deep.equal(['a', 'b']);
+		silent.clear();
+		clock.advance(1000);
+		expect(await claims.begin(claim)).to.deep.equal({kind: 'granted'});
+	});
+});
