Refuse at the entry node what the gates refuse anyway

Cause: in a flood of one importance every refusal cost a hop to a gate.

Change: EntryThrottle counts for each team, service and priority what the gates took and refused; a caller's request is refused at once while the refusals exceed what was taken.

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -15,7 +15,7 @@
 } from '@fireflyglade/model';
 import {
 	backoffDelay, lowerAttempts, splitAttempts,
-	type AttemptOutcome, type AttemptSplit, type RetryBudget, type Routing,
+	type AttemptOutcome, type AttemptSplit, type EntryThrottle, type RetryBudget, type Routing, type ThrottleKey,
 } from '@fireflyglade/routing';
 import type {
 	AnswerFlow, AnswerHead, HeaderFields, RequestBody,
@@ -54,6 +54,8 @@
 	readonly remoteGate: (target: Target) => CallRunner;
 	readonly routing: Routing;
 	readonly retryBudget: RetryBudget;
+	/** Refuses at once what the gates would refuse; nothing is refused so if it is absent. */
+	readonly throttle?: EntryThrottle;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -116,7 +118,16 @@
 
 	/** Sends the first attempt. */
 	start(): void {
-		this.#options.retryBudget.recordAttempt(this.#options.clock.now());
+		const {clock, retryBudget, throttle} = this.#options;
+		const isThrottled = this.#call.depth === 0 && throttle?.shouldRefuse(this.#throttleKey(), clock.now());
+		if (isThrottled) {
+			this.#finish({
+				code: 'overloaded', outcome: 'not-run', detail: 'the upstreams take less than half of what the team sends', retryAfterMilliseconds: throttledRetryMilliseconds,
+			});
+			return;
+		}
+
+		retryBudget.recordAttempt(clock.now());
 		this.#attempt();
 	}
 
@@ -133,6 +144,7 @@
 	}
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
+		this.#options.throttle?.recordTaken(this.#throttleKey(), this.#options.clock.now());
 		this.#level = note.level;
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
 		this.#remaining = lowerAttempts(this.#split, {kind: 'ran', unspent: note.retriesLeft});
@@ -176,6 +188,10 @@
 			return;
 		}
 
+		if (problem.code === 'overloaded') {
+			this.#options.throttle?.recordRefused(this.#throttleKey(), this.#options.clock.now());
+		}
+
 		this.#finish(problem);
 	}
 
@@ -191,6 +207,11 @@
 		this.#receiver.onBroken();
 	}
 
+	#throttleKey(): ThrottleKey {
+		const {team, priority, route} = this.#call;
+		return {service: route.service, ...(team === undefined ? {} : {team}), priority};
+	}
+
 	#attempt(): void {
 		const {routing, clock, random} = this.#options;
 		const now = clock.now();
@@ -322,3 +343,4 @@
 }
 
 const noTargetRetryMilliseconds = 1000;
+const throttledRetryMilliseconds = 500;
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -7,6 +7,7 @@
 	announcementIntervalMilliseconds, bytesInKibibyte,
 	type GateLevel, type Target, type TeamName, type Timer,
 } from '@fireflyglade/model';
+import {EntryThrottle} from '@fireflyglade/routing';
 import {
 	HttpListener,
 	type OutcomeAnswer, type OutcomeQuestion,
@@ -83,6 +84,7 @@
 			...dependencies,
 			node: settings.node,
 			ownGate: this.#gate,
+			throttle: new EntryThrottle(),
 			remoteGate: target => this.#remoteGates.to(target),
 		};
 		const shared = {dependencies, attempts, counters: this.#counters};
