Check messages of members at the edge and know a resend by its statement

Cause: the consensus core has a checked form of its messages that was not used between processes; an honest resend of 'set domain' could be refused, since the change it makes depends on the configuration; a member whose disk was lost looked ready. Change: members exchange the checked binary form; a change carries the digest of its statement; a member whose disk was lost is not ready; learners that have caught up are shown.

--- a/packages/control/src/_lib/control-rpc.ts
+++ b/packages/control/src/_lib/control-rpc.ts
@@ -3,11 +3,11 @@
 */
 
 import type {MemberId} from '@fireflyglade/model';
-import type {ConsensusMessage, MembersRefusal} from '@fireflyglade/consensus';
+import type {MembersRefusal} from '@fireflyglade/consensus';
 import type {NodeReport, RpcMethod} from '@fireflyglade/transport';
 
-/** A batch of messages of the replicated log. */
-export type DeliverRequest = {readonly messages: readonly ConsensusMessage[]};
+/** A batch of messages of the replicated log, in the binary form of the consensus package. */
+export type DeliverRequest = {readonly messages: readonly Uint8Array[]};
 
 /** Delivers messages of the replicated log to a member. */
 export const deliverMethod: RpcMethod<DeliverRequest, Record<string, never>> = {service: 'consensus', name: 'deliver'};
--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -3,7 +3,7 @@
 operators, the reports of the nodes and the claims of their gates.
 */
 
-import {loadStoredState, RaftConsensus} from '@fireflyglade/consensus';
+import {decodeMessage, loadStoredState, RaftConsensus} from '@fireflyglade/consensus';
 import {
 	InvalidInputError, SystemClock, type Clock, type MemberId, type Timer,
 } from '@fireflyglade/model';
@@ -186,7 +186,7 @@
 	async #listen(options: ControlProcessOptions): Promise<void> {
 		this.#server.handle(deliverMethod, async ({messages}) => {
 			for (const message of messages) {
-				this.#log.receive(message);
+				this.#log.receive(decodeMessage(message));
 			}
 
 			return {};
--- a/packages/control/src/member-channel/index.ts
+++ b/packages/control/src/member-channel/index.ts
@@ -6,7 +6,7 @@
 replicated log sends again by itself.
 */
 
-import type {ConsensusMessage} from '@fireflyglade/consensus';
+import {encodeMessage, type ConsensusMessage} from '@fireflyglade/consensus';
 import type {MemberId} from '@fireflyglade/model';
 import type {RpcClient} from '@fireflyglade/transport';
 import {deliverMethod} from '../_lib/control-rpc.js';
@@ -55,7 +55,7 @@
 
 	async #deliver(member: MemberId, address: string, messages: readonly ConsensusMessage[]): Promise<void> {
 		try {
-			await this.#client.call(deliverMethod, address, {messages}, {timeoutMilliseconds: callTimeoutMilliseconds});
+			await this.#client.call(deliverMethod, address, {messages: messages.map(message => encodeMessage(message))}, {timeoutMilliseconds: callTimeoutMilliseconds});
 		} catch {
 			// The replicated log sends again by itself.
 		} finally {
--- a/packages/control/src/operator-listener/index.ts
+++ b/packages/control/src/operator-listener/index.ts
@@ -109,7 +109,7 @@
 
 	#answerReadiness(): Response {
 		const ready = this.#options.isReady();
-		return Response.json({status: ready ? 'ready' : 'no quorum'}, {status: ready ? 200 : 503});
+		return Response.json({status: ready ? 'ready' : 'no quorum, or the disk was lost'}, {status: ready ? 200 : 503});
 	}
 
 	/** Compares with every token, so that the time taken tells nothing. */
--- a/packages/control/src/query-service/index.ts
+++ b/packages/control/src/query-service/index.ts
@@ -165,8 +165,9 @@
 
 	#members(): Table {
 		const status = this.#options.log.status();
+		const caughtUp = new Set(status.caughtUpLearners);
 		const rows: Row[] = status.members.voters.map(member => ({member, vote: 'voter', leads: member === status.leader}));
-		rows.push(...status.members.learners.map(member => ({member, vote: 'learner', leads: false})));
+		rows.push(...status.members.learners.map(member => ({member, vote: caughtUp.has(member) ? 'caught up' : 'learner', leads: false})));
 		return {columns: ['member', 'vote', 'leads'], rows};
 	}
 
--- a/packages/control/src/report-service/index.ts
+++ b/packages/control/src/report-service/index.ts
@@ -71,7 +71,7 @@
 	hasQuorum(): boolean {
 		const status = this.#options.log.status();
 		const heardAt = status.quorumHeardAt ?? Number.NEGATIVE_INFINITY;
-		return status.leader !== undefined && this.#options.clock.now() - heardAt <= quorumFreshnessMilliseconds;
+		return !status.diskLost && status.leader !== undefined && this.#options.clock.now() - heardAt <= quorumFreshnessMilliseconds;
 	}
 
 	/** Answers all that wait. */
--- a/packages/control/src/statement-service/index.ts
+++ b/packages/control/src/statement-service/index.ts
@@ -158,6 +158,7 @@
 				createKey: () => ({id: key.id, digest: key.digest}),
 			}),
 			...(statement.expectedRevision === undefined ? {} : {expectedRevision: statement.expectedRevision}),
+			requestDigest: createHash('sha256').update(request.statement).digest('hex'),
 			operator: request.operator.name,
 			at: this.#options.clock.wallNow(),
 		});
