Let requests wait for a holder that is due instead of refusing them

A trial at 100 a second, team rate 20,000, showed 55 answers of 429, all within the first 0.55 s: the failure domain had no holder yet, as witnesses wait one lease before they vote. Ruled out: admission (no 503) and the team's rate. Change: while the own domain has had no holder for less than 6 s, requests that fit into the burst wait for one, at most 3 s; the rest is refused as before. Of the three new tests two fail with the patience set to 0. The property (spent <= burst + rate x window under losses, cuts and changes) holds as before.

--- a/packages/rates/src/_lib/constants.ts
+++ b/packages/rates/src/_lib/constants.ts
@@ -14,6 +14,10 @@
 export const askTimeoutMilliseconds = 150;
 /** Milliseconds that a charge waits at most. */
 export const chargeTimeoutMilliseconds = 600;
+/** Milliseconds that a charge waits at most while the own failure domain has no known holder. */
+export const missingHolderWaitMilliseconds = 3000;
+/** Milliseconds without a known holder after which charges no longer wait for one. */
+export const missingHolderPatienceMilliseconds = 6000;
 /** Milliseconds after a first round of refusals in which no holder is asked. */
 export const dryMilliseconds = 20;
 /** The longest such time after many rounds. */
--- a/packages/rates/src/team-account/index.ts
+++ b/packages/rates/src/team-account/index.ts
@@ -8,8 +8,10 @@
 	millisecondsInSecond, type FailureDomain, type FencingNumber, type NodeId, type RequestId, type TeamName,
 } from '@fireflyglade/model';
 import {
-	askTimeoutMilliseconds, chargeTimeoutMilliseconds, dryMilliseconds, dryShareOfFilling, idleLoanMilliseconds, leastPrefetchTokens, loanMilliseconds, longestDryMilliseconds, partsInToken,
-	prefetchDemandPerSecond, prefetchMilliseconds, prefetchPauseMilliseconds, prefetchShareOfBurst, reportMilliseconds, reserveShare, unreportedShare, usableMilliseconds,
+	askTimeoutMilliseconds, chargeTimeoutMilliseconds, dryMilliseconds, dryShareOfFilling, idleLoanMilliseconds,
+	leastPrefetchTokens, loanMilliseconds, longestDryMilliseconds, missingHolderPatienceMilliseconds, missingHolderWaitMilliseconds,
+	partsInToken, prefetchDemandPerSecond, prefetchMilliseconds, prefetchPauseMilliseconds, prefetchShareOfBurst,
+	reportMilliseconds, reserveShare, unreportedShare, usableMilliseconds,
 } from '../_lib/constants.js';
 import type {Ask, Grant} from '../_lib/messages.js';
 import {Demand} from '../demand/index.js';
@@ -70,6 +72,8 @@
 	#dryUntil = Number.NEGATIVE_INFINITY;
 	/** Rounds in a row that ended empty. */
 	#dryRounds = 0;
+	/** Since when the own domain has had no known holder, as far as charges saw it. */
+	#holderMissingSince: number | undefined;
 	#prefetchedAt = Number.NEGATIVE_INFINITY;
 	#reportedAt: number;
 
@@ -174,7 +178,7 @@
 
 	#proceed(now: number): void {
 		this.#serveWaiting(now);
-		this.#refuseWaiting(({since}) => now - since >= chargeTimeoutMilliseconds, now);
+		this.#refuseOverdue(now);
 		if (this.#current !== undefined) {
 			return;
 		}
@@ -186,8 +190,42 @@
 		}
 
 		if (now < this.#dryUntil || this.#isHopeless(now) || !this.#askDomain(this.#nextDomain(now), needed, this.#prefetchTarget(now), now)) {
+			this.#endRoundUnlessHolderIsDue(now);
+		}
+	}
+
+	/**
+	A domain has no holder for a lease's length after its first witnesses are set, and
+	again after its holder is lost. What fits into the burst then waits for the next
+	holder: to refuse it would be wrong, as nobody has counted it yet.
+	*/
+	#endRoundUnlessHolderIsDue(now: number): void {
+		const {burst = 0} = this.#context.book.configuration.teams.get(this.#team) ?? {};
+		if (!this.#isHolderDue(now)) {
 			this.#endRound(now);
+			return;
 		}
+
+		const fitting = new Set(this.#waiting.slice(0, burst));
+		this.#refuseWaiting(waiting => !fitting.has(waiting), now);
+		this.#tried.clear();
+	}
+
+	/** True if the own domain has no known holder, and has had none for a short time only. */
+	#isHolderDue(now: number): boolean {
+		const {holders, domain} = this.#context;
+		if (holders().has(domain)) {
+			this.#holderMissingSince = undefined;
+			return false;
+		}
+
+		this.#holderMissingSince ??= now;
+		return now - this.#holderMissingSince < missingHolderPatienceMilliseconds;
+	}
+
+	#refuseOverdue(now: number): void {
+		const limit = this.#isHolderDue(now) ? missingHolderWaitMilliseconds : chargeTimeoutMilliseconds;
+		this.#refuseWaiting(({since}) => now - since >= limit, now);
 	}
 
 	#serveWaiting(now: number): void {
--- a/packages/rates/src/token-rate-keeper/test.ts
+++ b/packages/rates/src/token-rate-keeper/test.ts
@@ -1,10 +1,14 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {createTeamName, type Team, type TeamName} from '@fireflyglade/model';
+import {
+	createFailureDomain, createNodeId, createTeamName, emptyConfiguration,
+	type Configuration, type RequestId, type Revision, type Team, type TeamName,
+} from '@fireflyglade/model';
 import type {RatePayload} from '../_lib/messages.js';
 import type {Excess} from '../test-support/spend-count/index.js';
 import {RateWorld, type WorldOptions} from '../test-support/rate-world/index.js';
 import type {RateMessage} from '../types.js';
+import {TokenRateKeeper} from './index.js';
 
 const council = createTeamName('council');
 const county = createTeamName('county');
@@ -268,3 +272,39 @@
 		expect(world.refusals).to.have.length(1);
 	});
 });
+
+describe('TokenRateKeeper without a holder', () => {
+	const domain = createFailureDomain('north');
+	const configuration: Configuration = {
+		...emptyConfiguration,
+		revision: 1 as Revision,
+		teams: new Map([[council, team(council, 20, 5)]]),
+		domains: new Map([[domain, {name: domain, weight: 1, witnesses: [createNodeId('node-1')]}]]),
+	};
+
+	function createKeeper(): TokenRateKeeper {
+		const keeper = new TokenRateKeeper({node: createNodeId('node-2'), domain, run: 1});
+		keeper.setConfiguration(configuration, 0);
+		return keeper;
+	}
+
+	it('lets requests wait for a holder that is due, and refuses them after 3 s', () => {
+		const keeper = createKeeper();
+		expect(keeper.charge(council, 'request-1' as RequestId, 0).decisions).to.deep.equal([]);
+		expect(keeper.tick(2900).decisions).to.deep.equal([]);
+		expect(keeper.tick(3000).decisions.map(({outcome}) => outcome.kind)).to.deep.equal(['refused']);
+	});
+
+	it('lets no more requests wait than fit into the burst', () => {
+		const keeper = createKeeper();
+		const refusals = Array.from({length: 6}, (_, index) => keeper.charge(council, `request-${index}` as RequestId, 0).decisions.length);
+		expect(refusals).to.deep.equal([0, 0, 0, 0, 0, 1]);
+	});
+
+	it('refuses at once when no holder has come for long', () => {
+		const keeper = createKeeper();
+		keeper.charge(council, 'request-1' as RequestId, 0);
+		keeper.tick(6000);
+		expect(keeper.charge(council, 'request-2' as RequestId, 6000).decisions.map(({outcome}) => outcome.kind)).to.deep.equal(['refused']);
+	});
+});
