--- a/packages/membership/src/rumor-queue/index.ts
+++ b/packages/membership/src/rumor-queue/index.ts
@@ -3,7 +3,8 @@
 
 Each rumor is sent a number of times that grows with the logarithm of the
 number of members, and for a limited time, as digests find what it missed; the
-ones sent least often go first.
+ones sent least often go first. Withdrawn keys go before all else: a promise to
+operators waits for them, and their number of sends is bounded.
 */
 
 import {rumorLifeMilliseconds, rumorRepeatsPerDoubling, rumorsPerMessage} from '../_lib/constants.js';
@@ -36,6 +37,11 @@
 	}
 }
 
+function compareUrgency(first: QueuedRumor, second: QueuedRumor): number {
+	const byKind = Number(second.rumor.kind === 'withdrawn') - Number(first.rumor.kind === 'withdrawn');
+	return byKind === 0 ? first.timesSent - second.timesSent : byKind;
+}
+
 /** News that still has to be spread. */
 export class RumorQueue {
 	readonly #queued = new Map<string, QueuedRumor>();
@@ -49,7 +55,7 @@
 	take(memberCount: number, pulses: boolean, now: number): Rumor[] {
 		const limit = rumorRepeatsPerDoubling * Math.ceil(Math.log2(memberCount + 1));
 		const chosen: Rumor[] = [];
-		const bySent = [...this.#queued].toSorted(([, first], [, second]) => first.timesSent - second.timesSent);
+		const bySent = [...this.#queued].toSorted(([, first], [, second]) => compareUrgency(first, second));
 		for (const [subject, queued] of bySent) {
 			if (chosen.length >= rumorsPerMessage) {
 				break;
--- /dev/null
+++ b/packages/membership/src/rumor-queue/test.ts
@@ -0,0 +1,49 @@
+import {expect} from 'chai';
+import {createNodeId, type KeyId, type Revision} from '@fireflyglade/model';
+import type {Rumor} from '../_lib/messages.js';
+import {RumorQueue} from './index.js';
+
+const memberCount = 360;
+const withdrawn: Rumor = {kind: 'withdrawn', keys: ['key-1' as KeyId]};
+
+function pulseOf(number: number): Rumor {
+	return {
+		kind: 'pulse', pulse: {
+			node: createNodeId(`node-${number}`), incarnation: 1, sequence: 1, revision: 0 as Revision,
+		},
+	};
+}
+
+function createFullQueue(): RumorQueue {
+	const queue = new RumorQueue();
+	for (let number = 0; number < memberCount; number++) {
+		queue.add(pulseOf(number), 0);
+	}
+
+	return queue;
+}
+
+describe('RumorQueue', () => {
+	it('sends withdrawn keys with every message while other news waits', () => {
+		const queue = createFullQueue();
+		for (let message = 0; message < 5; message++) {
+			queue.add(withdrawn, 0);
+			queue.take(memberCount, true, 0);
+			queue.take(memberCount, true, 0);
+			expect(queue.take(memberCount, true, 0)).to.deep.include(withdrawn);
+		}
+	});
+
+	it('stops sending withdrawn keys after a bounded number of messages', () => {
+		const queue = createFullQueue();
+		queue.add(withdrawn, 0);
+		const sends = Array.from({length: 200}, () => queue.take(memberCount, true, 0)).filter(rumors => rumors.includes(withdrawn)).length;
+		expect(sends).to.be.within(1, 40);
+	});
+
+	it('sends nothing that is too old', () => {
+		const queue = new RumorQueue();
+		queue.add(withdrawn, 0);
+		expect(queue.take(memberCount, true, 60_000)).to.deep.equal([]);
+	});
+});
