Keep the connection of a refused request that has no body

Cause: every refusal of a GET ended its connection (seen with curl: a 401 with 'Connection: close', two requests on two connections), as Node.js does not count a request without a body as complete when its head has come. A client storm thus paid a new connection for each refusal, and so did the entry node, though a refusal is to be far cheaper than service. Change: the connection ends only where the head announces a body that has not come; conflicting framing still ends it. Conclusion: a refusal costs no connection any more.

--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -24,7 +24,9 @@
 	emptyBody, readFraming, takeBody, type BodyFraming,
 } from '../request-body/index.js';
 import {RequestIds} from '../request-ids/index.js';
-import {checkFraming, checkHost, checkPath} from '../request-guards/index.js';
+import {
+	checkFraming, mayHaveBody, checkHost, checkPath,
+} from '../request-guards/index.js';
 import {createRouteListener, type RouteMatch} from '../route-table/index.js';
 import type {TeamCounters} from '../team-counters/index.js';
 import {createTraceparent} from '../trace-context/index.js';
@@ -288,7 +290,8 @@
 	}
 
 	#refuse(request: IncomingMessage, response: ServerResponse, problem: Problem, route?: Route): void {
-		if (!request.complete) {
+		// A request without a body isn't complete yet when its head has come, and needs no new connection.
+		if (mayHaveBody(request) && !request.complete) {
 			response.shouldKeepAlive = false;
 		}
 
--- a/packages/node/src/_lib/call-server/test.ts
+++ b/packages/node/src/_lib/call-server/test.ts
@@ -106,6 +106,13 @@
 		});
 	}
 
+	it('keeps the connection of a refused request without a body, and ends that of one whose body has not come', async () => {
+		const refused = await call('/orders/1', {headers: {}});
+		expect(refused.headers.connection).to.equal('keep-alive');
+		const unread = await exchangeRaw(node.addresses.callers, 'POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n');
+		expect(unread.toLowerCase()).to.contain('connection: close');
+	});
+
 	it('survives any bytes and never runs a request without a key', async () => {
 		await fc.assert(fc.asyncProperty(fc.string({maxLength: 60}), fc.string({maxLength: 60}), async (line, field) => {
 			await exchangeRaw(node.addresses.callers, `GET /orders/1${line} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n${field}\r\n\r\n`);
--- a/packages/node/src/_lib/request-guards/index.ts
+++ b/packages/node/src/_lib/request-guards/index.ts
@@ -34,6 +34,12 @@
 	return undefined;
 }
 
+/** True if the head announces a body, also one whose framing is wrong. */
+export function mayHaveBody(request: IncomingMessage): boolean {
+	const {'transfer-encoding': transferEncoding, 'content-length': contentLength} = request.headers;
+	return transferEncoding !== undefined || (contentLength !== undefined && contentLength !== '0');
+}
+
 /** Checks the framing of the body against smuggling, and its length. */
 export function checkFraming(request: IncomingMessage, limits: CallerLimits): Problem | undefined {
 	const {'transfer-encoding': transferEncoding, 'content-length': contentLength} = request.headers;
