Answer requests that cross the close of their connection

Change: the callers' listener takes no new connections first and ends those without a request 1 s later; until then a request on an open connection is answered and ends it. The gate's problems stand in a module of their own.

--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -3,7 +3,7 @@
 runs at the upstream and ends. Each ending goes one way through `#finish`.
 */
 
-import type {AdmissionDecision, RefusalReason, RunOutcome} from '@fireflyglade/admission';
+import type {AdmissionDecision, RunOutcome} from '@fireflyglade/admission';
 import {
 	UnreachableError,
 	type Problem, type ProblemCode, type Timer,
@@ -12,7 +12,6 @@
 	ClaimOutcome, ClaimRequest, ClaimResult, StoredAnswer,
 } from '@fireflyglade/state';
 import {
-	BodyTooLargeError,
 	type AnswerFlow, type AnswerHead, type AnswerReceiver, type HeaderFields, type RunningSend, type SendFailure,
 } from '@fireflyglade/transport';
 import type {Gate, GateUpstream} from '../../gate/index.js';
@@ -23,6 +22,7 @@
 import {
 	contextField, teamField, timeoutField,
 } from '../peer-fields/index.js';
+import {drainingProblem, failureProblem, refusalProblem} from '../gate-problems/index.js';
 import {AnswerRecorder, replayAnswer, silentReceiver} from '../stored-answer/index.js';
 import {createTraceparent} from '../trace-context/index.js';
 
@@ -31,10 +31,6 @@
 const firstFailureStatus = 500;
 const claimRetryMilliseconds = 1000;
 const claimCommitWaitMilliseconds = 2000;
-const draining: Problem = {
-	code: 'draining', outcome: 'not-run', detail: 'the upstream takes no new work', retryAfterMilliseconds: 0,
-};
-
 /** One request in the gate. */
 export class GateExchange implements RunningCall, AnswerReceiver {
 	readonly #gate: Gate;
@@ -104,7 +100,7 @@
 	/** The upstream leaves: refuses the request unless it runs. */
 	refuseIfWaiting(upstream: GateUpstream): void {
 		if (this.#upstream === upstream && this.takeBack()) {
-			this.#receiver.onProblem(draining, this.#note(this.#unusedRetries()));
+			this.#receiver.onProblem(drainingProblem, this.#note(this.#unusedRetries()));
 		}
 	}
 
@@ -447,42 +443,3 @@
 		return this.#gate.options.clock.now();
 	}
 }
-
-function failureProblem(cause: Error): Problem {
-	if (cause instanceof BodyTooLargeError) {
-		return {code: 'body-too-large', outcome: 'unknown', detail: cause.message};
-	}
-
-	return {code: 'upstream-failed', outcome: 'unknown', detail: 'the upstream broke off before it answered'};
-}
-
-function refusalProblem(reason: RefusalReason, retryAfterMilliseconds: number): Problem {
-	switch (reason) {
-		case 'queue-full': {
-			return {
-				code: 'overloaded', outcome: 'not-run', detail: 'the queue is full', retryAfterMilliseconds,
-			};
-		}
-
-		case 'shed': {
-			return {
-				code: 'overloaded', outcome: 'not-run', detail: 'requests of this priority are shed', retryAfterMilliseconds,
-			};
-		}
-
-		case 'deadline': {
-			return {
-				code: 'queue-timeout', outcome: 'not-run', detail: 'the deadline can no longer be met', retryAfterMilliseconds,
-			};
-		}
-
-		case 'draining':
-		case 'cancelled': {
-			return draining;
-		}
-
-		default: {
-			throw new UnreachableError(reason);
-		}
-	}
-}
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -51,6 +51,8 @@
 const innerLimits = {maximumHeaderBytes: 128 * bytesInKibibyte, maximumConnections: 20_000};
 const statusLimits = {maximumHeaderBytes: 16 * bytesInKibibyte, maximumConnections: 100};
 const stopPollMilliseconds = 10;
+/** Milliseconds for which callers' connections without a request stay open at the end. */
+const idleConnectionMilliseconds = 1000;
 /** Milliseconds for peers to hear that the node leaves before its gate refuses work. */
 const leaveNoticeMilliseconds = 1000;
 
@@ -232,7 +234,11 @@
 		this.#removeChangeListener?.();
 		this.#announcements.close();
 		this.#refreshTimer?.cancel();
-		await Promise.all(Object.values(this.#listeners).map(async listener => listener.close(announcementIntervalMilliseconds)));
+		const {shutdownTimeoutMilliseconds} = this.#dependencies.settings;
+		const idleMilliseconds = Math.min(idleConnectionMilliseconds, shutdownTimeoutMilliseconds / 4);
+		const {callers, ...others} = this.#listeners;
+		await callers.close(announcementIntervalMilliseconds, idleMilliseconds);
+		await Promise.all(Object.values(others).map(async listener => listener.close(announcementIntervalMilliseconds)));
 		await Promise.all([this.#gate.close(), this.#remoteGates.close()]);
 	}
 
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -7,7 +7,7 @@
 	createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
-import type {AddressInfo, Socket} from 'node:net';
+import {Server as TcpServer, type AddressInfo, type Socket} from 'node:net';
 import {
 	formatProblem, InvalidInputError, problemStatus, type Problem, type ProblemCode,
 } from '@fireflyglade/model';
@@ -87,24 +87,35 @@
 		this.#closing = true;
 	}
 
-	/** Takes no new connections, lets exchanges finish for `timeoutMilliseconds`, then closes what is left. */
-	async close(timeoutMilliseconds: number): Promise<void> {
+	/**
+	Takes no new connections, lets exchanges finish for `timeoutMilliseconds`, then closes what is left.
+
+	Connections without a request stay open for `idleMilliseconds` more: a request
+	that crosses the close of its connection would be cut, and each answer ends its
+	connection by now. The close of the HTTP server would end them at once, so that
+	of the TCP server beneath it is used.
+	*/
+	async close(timeoutMilliseconds: number, idleMilliseconds = 0): Promise<void> {
 		this.#closing = true;
 		const closed = new Promise<void>(resolve => {
-			this.#server.close(() => {
+			TcpServer.prototype.close.call(this.#server, () => {
 				resolve();
 			});
 		});
-		this.#server.closeIdleConnections();
+		const closeIdleFrom = performance.now() + idleMilliseconds;
 		const idleCloser = setInterval(() => {
-			this.#server.closeIdleConnections();
+			if (performance.now() >= closeIdleFrom) {
+				this.#server.closeIdleConnections();
+			}
 		}, closePollMilliseconds);
 		const forced = setTimeout(() => {
 			this.#server.closeAllConnections();
-		}, timeoutMilliseconds);
+		}, timeoutMilliseconds + idleMilliseconds);
 		await closed;
 		clearInterval(idleCloser);
 		clearTimeout(forced);
+		// Ends what the HTTP server keeps for itself.
+		this.#server.close();
 	}
 
 	#handle(request: IncomingMessage, response: ServerResponse, handler: RequestListener): void {
--- /dev/null
+++ b/packages/transport/src/http-listener/test.ts
@@ -0,0 +1,65 @@
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {expect} from 'chai';
+import {HttpListener} from './index.js';
+
+const limits = {maximumHeaderBytes: 8192, maximumConnections: 10};
+const idleMilliseconds = 200;
+
+async function open(address: string): Promise<Socket> {
+	const [host, port] = address.split(':');
+	const socket = connect(Number(port), host);
+	socket.setEncoding('latin1');
+	await once(socket, 'connect');
+	return socket;
+}
+
+async function exchange(socket: Socket): Promise<string> {
+	socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	const [answer] = await once(socket, 'data') as [string];
+	return answer;
+}
+
+describe('HttpListener', () => {
+	async function startListener(): Promise<{listener: HttpListener; address: string}> {
+		const listener = new HttpListener((_request, response) => {
+			response.end('ok');
+		}, limits);
+		return {listener, address: await listener.listen('127.0.0.1:0')};
+	}
+
+	it('answers a request that comes on an open connection after the close began, and then ends the connection', async () => {
+		const {listener, address} = await startListener();
+		const socket = await open(address);
+		await exchange(socket);
+		const closed = listener.close(1000, idleMilliseconds);
+		const answer = await exchange(socket);
+		expect(answer).to.contain('200 OK').and.to.contain('Connection: close');
+		await closed;
+	});
+
+	it('takes no new connection once the close began', async () => {
+		const {listener, address} = await startListener();
+		const idle = await open(address);
+		await exchange(idle);
+		const closed = listener.close(1000, idleMilliseconds);
+		let failure: unknown;
+		try {
+			await open(address);
+		} catch (error: unknown) {
+			failure = error;
+		}
+
+		expect(failure).to.include({code: 'ECONNREFUSED'});
+		await closed;
+	});
+
+	it('ends connections that stay without a request', async () => {
+		const {listener, address} = await startListener();
+		const idle = await open(address);
+		await exchange(idle);
+		const ended = once(idle, 'close');
+		await listener.close(1000, idleMilliseconds);
+		await ended;
+	});
+});
