Keep the waits of the replicated log in a class of their own

Change: PendingAnswers holds waits with their bound; as a proposal is reported committed before its entry is applied, results need no second map. Conclusion: one job a module, the same behaviour.

--- a/packages/control/src/replicated-log/index.ts
+++ b/packages/control/src/replicated-log/index.ts
@@ -14,6 +14,7 @@
 	ConfigurationStateMachine, decodeCommand, encodeCommand, type Command, type CommandResult,
 } from '@fireflyglade/state';
 import type {LogStorage} from '@fireflyglade/storage';
+import {PendingAnswers} from '../_lib/pending-answers/index.js';
 import {
 	NoQuorumError, ShuttingDownError, StorageFailedError, UnexpectedRefusalError,
 } from '../errors/index.js';
@@ -44,11 +45,6 @@
 	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined}
 	| {readonly kind: 'members-refused'; readonly reason: MembersRefusal};
 
-type Waiter = {
-	readonly resolve: (result: CommandResult) => void;
-	readonly reject: (error: FireflygladeError) => void;
-};
-
 const tickIntervalMilliseconds = 10;
 const proposalTimeoutMilliseconds = 3000;
 const readTimeoutMilliseconds = 3000;
@@ -64,15 +60,18 @@
 	#tickTimer: Timer | undefined;
 	#isClosed = false;
 	#nextReadId = 1;
-	readonly #proposals = new Map<number, Waiter>();
-	readonly #reads = new Map<number, {readonly resolve: () => void; readonly reject: (error: FireflygladeError) => void}>();
-	readonly #memberChanges = new Map<number, {readonly resolve: () => void; readonly reject: (error: FireflygladeError) => void}>();
-	readonly #resultsByIndex = new Map<number, Waiter>();
-	readonly #unclaimedResults = new Map<number, CommandResult>();
+	readonly #proposals: PendingAnswers<CommandResult>;
+	readonly #memberChanges: PendingAnswers<void>;
+	readonly #reads: PendingAnswers<void>;
+	/** Proposals that are committed and not applied yet. */
+	readonly #proposalByIndex = new Map<number, number>();
 	readonly #appliedListeners = new Set<() => void>();
 
 	constructor(options: ReplicatedLogOptions) {
 		this.#options = options;
+		this.#proposals = new PendingAnswers(options.clock);
+		this.#memberChanges = new PendingAnswers(options.clock);
+		this.#reads = new PendingAnswers(options.clock);
 		this.#machine = options.machine;
 		this.#appliedIndex = options.appliedIndex;
 		this.#snapshotIndex = options.appliedIndex;
@@ -127,7 +126,7 @@
 			return proposal;
 		}
 
-		const result = this.#awaitProposal(proposal.proposalId);
+		const result = this.#proposals.wait(proposal.proposalId, proposalTimeoutMilliseconds);
 		this.#run(proposal.actions);
 		return {kind: 'result', result: await result};
 	}
@@ -143,7 +142,7 @@
 			return proposal;
 		}
 
-		const committed = this.#withTimeout<void>(proposalTimeoutMilliseconds, this.#memberChanges, proposal.proposalId);
+		const committed = this.#memberChanges.wait(proposal.proposalId, proposalTimeoutMilliseconds);
 		this.#run(proposal.actions);
 		await committed;
 		return {kind: 'committed'};
@@ -157,7 +156,7 @@
 	async read(): Promise<void> {
 		const readId = this.#nextReadId;
 		this.#nextReadId++;
-		const ready = this.#withTimeout<void>(readTimeoutMilliseconds, this.#reads, readId);
+		const ready = this.#reads.wait(readId, readTimeoutMilliseconds);
 		this.#run(this.#options.consensus.read(readId, this.#options.clock.now()));
 		await ready;
 	}
@@ -178,34 +177,6 @@
 		await this.#options.storage.close();
 	}
 
-	async #awaitProposal(proposalId: number): Promise<CommandResult> {
-		return this.#withTimeout<CommandResult>(proposalTimeoutMilliseconds, this.#proposals, proposalId);
-	}
-
-	/** Waits for an answer under `id` in `waiters`, at most `timeout` milliseconds. */
-	async #withTimeout<Value>(
-		timeout: number,
-		waiters: Map<number, {readonly resolve: (value: Value) => void; readonly reject: (error: FireflygladeError) => void}>,
-		id: number,
-	): Promise<Value> {
-		return new Promise<Value>((resolve, reject) => {
-			const timer = this.#options.clock.startTimer(timeout, () => {
-				waiters.delete(id);
-				reject(new NoQuorumError('no quorum of the control processes confirmed in time'));
-			});
-			waiters.set(id, {
-				resolve(value) {
-					timer.cancel();
-					resolve(value);
-				},
-				reject(error) {
-					timer.cancel();
-					reject(error);
-				},
-			});
-		});
-	}
-
 	#tick(): void {
 		if (this.#isClosed) {
 			return;
@@ -246,14 +217,12 @@
 			}
 
 			case 'read-ready': {
-				this.#reads.get(action.readId)?.resolve();
-				this.#reads.delete(action.readId);
+				this.#reads.resolve(action.readId, undefined);
 				return;
 			}
 
 			case 'read-failed': {
-				this.#reads.get(action.readId)?.reject(new NoQuorumError('no quorum confirmed the read'));
-				this.#reads.delete(action.readId);
+				this.#reads.reject(action.readId, new NoQuorumError('no quorum confirmed the read'));
 				return;
 			}
 
@@ -263,7 +232,7 @@
 			}
 
 			case 'proposal-committed': {
-				this.#claimResult(action.proposalId, action.index);
+				this.#noteCommitted(action.proposalId, action.index);
 				return;
 			}
 
@@ -311,10 +280,9 @@
 	}
 
 	#rejectAll(error: FireflygladeError): void {
-		const waiters = [...this.#proposals.values(), ...this.#memberChanges.values(), ...this.#resultsByIndex.values(), ...this.#reads.values()];
-		for (const waiter of waiters) {
-			waiter.reject(error);
-		}
+		this.#proposals.rejectAll(error);
+		this.#memberChanges.rejectAll(error);
+		this.#reads.rejectAll(error);
 	}
 
 	#apply(entries: readonly LogEntry[]): void {
@@ -339,7 +307,7 @@
 
 			case 'command': {
 				const result = this.#machine.apply(decodeCommand(entry.payload.command));
-				this.#offerResult(entry.index, result);
+				this.#answerProposal(entry.index, result);
 				return;
 			}
 
@@ -349,51 +317,25 @@
 		}
 	}
 
-	/** A result may come before or after the word that its proposal was committed. */
-	#offerResult(index: number, result: CommandResult): void {
-		const waiter = this.#resultsByIndex.get(index);
-		if (waiter !== undefined) {
-			this.#resultsByIndex.delete(index);
-			waiter.resolve(result);
-			return;
-		}
-
-		if (this.#proposals.size > 0) {
-			this.#unclaimedResults.set(index, result);
-		} else {
-			this.#unclaimedResults.clear();
-		}
-	}
-
 	#loseProposal(proposalId: number): void {
-		const waiter = this.#proposals.get(proposalId) ?? this.#memberChanges.get(proposalId);
-		this.#proposals.delete(proposalId);
-		this.#memberChanges.delete(proposalId);
-		waiter?.reject(new NoQuorumError('leadership was lost before the proposal was committed'));
+		const error = new NoQuorumError('leadership was lost before the proposal was committed');
+		this.#proposals.reject(proposalId, error);
+		this.#memberChanges.reject(proposalId, error);
 	}
 
-	#claimResult(proposalId: number, index: number): void {
-		const change = this.#memberChanges.get(proposalId);
-		if (change !== undefined) {
-			this.#memberChanges.delete(proposalId);
-			change.resolve();
-			return;
-		}
-
-		const waiter = this.#proposals.get(proposalId);
-		this.#proposals.delete(proposalId);
-		if (waiter === undefined) {
-			return;
+	/** A change of the members is done once it is committed; a command has its result once it is applied. */
+	#noteCommitted(proposalId: number, index: number): void {
+		if (!this.#memberChanges.resolve(proposalId, undefined) && this.#proposals.has(proposalId)) {
+			this.#proposalByIndex.set(index, proposalId);
 		}
+	}
 
-		const result = this.#unclaimedResults.get(index);
-		if (result === undefined) {
-			this.#resultsByIndex.set(index, waiter);
-			return;
+	#answerProposal(index: number, result: CommandResult): void {
+		const proposalId = this.#proposalByIndex.get(index);
+		if (proposalId !== undefined) {
+			this.#proposalByIndex.delete(index);
+			this.#proposals.resolve(proposalId, result);
 		}
-
-		this.#unclaimedResults.delete(index);
-		waiter.resolve(result);
 	}
 
 	#restore(snapshot: Snapshot): void {
