Let requests wait for a holder that has just started empty

Cause: in a fresh clone the first keyed call after the ready file was answered with 429 after 0.88 s: it had waited for the holder, which then started with an empty bucket, and the first empty round refused what waited. Change: for 0.5 s after its domain's holder came, what fits into the burst goes on waiting and asking. No test of its own: the demo's test polls at its start. Conclusion: mended as seen; a focused test is still to be written.

--- a/packages/rates/src/_lib/constants.ts
+++ b/packages/rates/src/_lib/constants.ts
@@ -16,6 +16,8 @@
 export const chargeTimeoutMilliseconds = 600;
 /** Milliseconds that a charge waits at most while the own failure domain has no known holder. */
 export const missingHolderWaitMilliseconds = 3000;
+/** Milliseconds for which requests wait for tokens at a holder that starts empty. */
+export const holderStartMilliseconds = 500;
 /** Milliseconds without a known holder after which charges no longer wait for one. */
 export const missingHolderPatienceMilliseconds = 6000;
 /** Milliseconds after a first round of refusals in which no holder is asked. */
--- a/packages/rates/src/team-account/index.ts
+++ b/packages/rates/src/team-account/index.ts
@@ -9,7 +9,7 @@
 } from '@fireflyglade/model';
 import {
 	askTimeoutMilliseconds, chargeTimeoutMilliseconds, dryMilliseconds, dryShareOfFilling, idleLoanMilliseconds,
-	leastPrefetchTokens, loanMilliseconds, longestDryMilliseconds, missingHolderPatienceMilliseconds, missingHolderWaitMilliseconds,
+	leastPrefetchTokens, loanMilliseconds, longestDryMilliseconds, holderStartMilliseconds, missingHolderPatienceMilliseconds, missingHolderWaitMilliseconds,
 	partsInToken, prefetchDemandPerSecond, prefetchMilliseconds, prefetchPauseMilliseconds, prefetchShareOfBurst,
 	reportMilliseconds, reserveShare, unreportedShare, usableMilliseconds,
 } from '../_lib/constants.js';
@@ -74,6 +74,8 @@
 	#dryRounds = 0;
 	/** Since when the own domain has had no known holder, as far as charges saw it. */
 	#holderMissingSince: number | undefined;
+	/** Until when the holder that came last is taken for one that has just started. */
+	#holderStartsUntil = Number.NEGATIVE_INFINITY;
 	#prefetchedAt = Number.NEGATIVE_INFINITY;
 	#reportedAt: number;
 
@@ -211,12 +213,13 @@
 		this.#tried.clear();
 	}
 
-	/** True if the own domain has no known holder, and has had none for a short time only. */
+	/** True if the own domain has no known holder, and has had none for a short time only, or if its holder has just started with empty buckets. */
 	#isHolderDue(now: number): boolean {
 		const {holders, domain} = this.#context;
 		if (holders().has(domain)) {
+			this.#holderStartsUntil = this.#holderMissingSince === undefined ? this.#holderStartsUntil : now + holderStartMilliseconds;
 			this.#holderMissingSince = undefined;
-			return false;
+			return now < this.#holderStartsUntil;
 		}
 
 		this.#holderMissingSince ??= now;
