Test the wait for a holder that has just started empty

Cause: the wait of 0.5 s landed without a test of its own. Change: a request waits through the holder's first empty grant and is refused 0.5 s after the holder came, not before.

--- a/packages/rates/src/token-rate-keeper/test.ts
+++ b/packages/rates/src/token-rate-keeper/test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {
 	createFailureDomain, createNodeId, createTeamName, emptyConfiguration,
-	type Configuration, type RequestId, type Revision, type Team, type TeamName,
+	type Configuration, type FencingNumber, type RequestId, type Revision, type Team, type TeamName,
 } from '@fireflyglade/model';
 import type {RatePayload} from '../_lib/messages.js';
 import type {Excess} from '../test-support/spend-count/index.js';
@@ -307,4 +307,23 @@
 		keeper.tick(6000);
 		expect(keeper.charge(council, 'request-2' as RequestId, 6000).decisions.map(({outcome}) => outcome.kind)).to.deep.equal(['refused']);
 	});
+
+	it('lets requests wait for a holder that has just started empty, and refuses them after 0.5 s more', () => {
+		const keeper = createKeeper();
+		const holder = createNodeId('node-1');
+		const view = {holder, fencing: 1 as FencingNumber, revision: 1 as Revision};
+		keeper.charge(council, 'request-1' as RequestId, 0);
+		const {messages} = keeper.setHolders(new Map([[domain, view]]), 1000);
+		const asked = [...messages, ...keeper.tick(1001).messages].map(({payload}) => payload as RatePayload).find(payload => payload.kind === 'ask');
+		if (asked?.kind !== 'ask') {
+			throw new TypeError('the holder was not asked');
+		}
+
+		const nothing: RatePayload = {
+			kind: 'grant', domain, fencing: asked.fencing, run: asked.run, team: council, loan: asked.loan, amount: 0, durationMilliseconds: 1000, level: 0,
+		};
+		expect(keeper.receive({from: holder, to: createNodeId('node-2'), payload: nothing}, 1010).decisions).to.deep.equal([]);
+		expect(keeper.tick(1300).decisions).to.deep.equal([]);
+		expect(keeper.tick(1600).decisions.map(({outcome}) => outcome.kind)).to.deep.equal(['refused']);
+	});
 });
