--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -3,7 +3,9 @@
 operators, the reports of the nodes and the claims of their gates.
 */
 
-import {decodeMessage, loadStoredState, RaftConsensus} from '@fireflyglade/consensus';
+import {
+	decodeMessage, loadStoredState, RaftConsensus, type ConsensusMessage,
+} from '@fireflyglade/consensus';
 import {
 	InvalidInputError, SystemClock, type Clock, type MemberId, type Timer,
 } from '@fireflyglade/model';
@@ -17,12 +19,14 @@
 } from '../_lib/control-rpc.js';
 import {CommandProposer} from '../command-proposer/index.js';
 import {NoQuorumError, type StorageFailedError} from '../errors/index.js';
+import {FleetSteward, type FleetStewardOptions} from '../fleet-steward/index.js';
 import {FleetRegistry} from '../fleet-registry/index.js';
 import {MemberChannel} from '../member-channel/index.js';
 import {MemberDirectory} from '../member-directory/index.js';
 import {MemberService} from '../member-service/index.js';
 import {OperatorListener} from '../operator-listener/index.js';
 import {QueryService} from '../query-service/index.js';
+import {ReplacementService} from '../replacement-service/index.js';
 import {ReplicatedLog} from '../replicated-log/index.js';
 import {ReportService} from '../report-service/index.js';
 import {StatementService, type Operator} from '../statement-service/index.js';
@@ -35,6 +39,12 @@
 	readonly rpcAddress: string;
 	/** RPC address of each member, this one among them. */
 	readonly members: Map<MemberId, string>;
+	/** RPC addresses at which members may be found whose ids aren't known. */
+	readonly seeds?: readonly string[];
+	/** Members and failure domains are kept in order without an operator, for this number of control VMs lost at once. */
+	readonly toleratedLosses?: number;
+	/** Called after each such step, for the log. */
+	readonly onStep?: FleetStewardOptions['onStep'];
 	/** True if the log already exists and this process waits until it is added. */
 	readonly join?: boolean;
 	readonly operators: readonly Operator[];
@@ -56,6 +66,8 @@
 const electionTimeoutMilliseconds = 400;
 const heartbeatIntervalMilliseconds = 80;
 const forgetIntervalMilliseconds = 60_000;
+/** Milliseconds between two introductions where silent members are replaced without an operator. */
+const stewardIntroduceMilliseconds = 500;
 
 /** A running control process. */
 export class ControlProcess {
@@ -85,7 +97,12 @@
 			heartbeatIntervalMilliseconds,
 		});
 		const directory = new MemberDirectory({
-			member: options.member, addresses: options.members, client, clock,
+			member: options.member,
+			addresses: options.members,
+			...(options.seeds === undefined ? {} : {seeds: options.seeds}),
+			...(options.toleratedLosses === undefined ? {} : {introduceIntervalMilliseconds: stewardIntroduceMilliseconds}),
+			client,
+			clock,
 		});
 		const channel = new MemberChannel(client, directory.addresses);
 		const {snapshot} = stored;
@@ -115,6 +132,9 @@
 	readonly #directory: MemberDirectory;
 	readonly #members: MemberService;
 	readonly #operatorListener: OperatorListener;
+	readonly #replacements: ReplacementService;
+	readonly #steward: FleetSteward | undefined;
+	readonly #member: MemberId;
 	#operatorUrl = '';
 	#rpcAddress = '';
 	#isClosed = false;
@@ -135,6 +155,7 @@
 			clock,
 			client,
 			otherMembers: () => directory.others(),
+			...(options.toleratedLosses === undefined ? {} : {allMembers: () => [...new Set(directory.addresses.values())]}),
 		});
 		this.#proposer = new CommandProposer({
 			log, client, addresses: directory.addresses, clock,
@@ -142,6 +163,14 @@
 		this.#members = new MemberService({
 			log, directory, client, clock,
 		});
+		this.#member = options.member;
+		this.#replacements = new ReplacementService({log, proposer: this.#proposer, clock});
+		this.#steward = options.toleratedLosses === undefined
+			? undefined
+			: new FleetSteward({
+				log, directory, members: this.#members, registry: this.#registry, clock, toleratedLosses: options.toleratedLosses,
+				...(options.onStep === undefined ? {} : {onStep: options.onStep}),
+			});
 		const queries = new QueryService({log, registry: this.#registry, clock});
 		this.#operatorListener = new OperatorListener({
 			statements: new StatementService({
@@ -162,6 +191,16 @@
 		return this.#rpcAddress;
 	}
 
+	/** Takes over other addresses at which members may be found. */
+	setSeeds(seeds: readonly string[]): void {
+		this.#directory.setSeeds(seeds);
+	}
+
+	/** Whole configurations. */
+	get replacements(): ReplacementService {
+		return this.#replacements;
+	}
+
 	/** The replicated log, for its state and status. */
 	get log(): ReplicatedLog {
 		return this.#log;
@@ -175,6 +214,7 @@
 
 		this.#isClosed = true;
 		this.#forgetTimer?.cancel();
+		this.#steward?.close();
 		this.#directory.close();
 		this.#reports.close();
 		await this.#operatorListener.close();
@@ -186,7 +226,7 @@
 	async #listen(options: ControlProcessOptions): Promise<void> {
 		this.#server.handle(deliverMethod, async ({messages}) => {
 			for (const message of messages) {
-				this.#log.receive(decodeMessage(message));
+				this.#receive(decodeMessage(message));
 			}
 
 			return {};
@@ -205,12 +245,20 @@
 		this.#directory.start(this.#rpcAddress);
 		this.#log.start();
 		this.#reports.start();
+		this.#steward?.start();
 		this.#forgetLater();
 	}
 
+	/** A member that came with an empty disk runs at the address of its predecessor, whose messages aren't for it. */
+	#receive(message: ConsensusMessage): void {
+		if (message.to === this.#member) {
+			this.#log.receive(message);
+		}
+	}
+
 	async #claim(call: ClaimCall): Promise<ClaimCallAnswer> {
 		const command = decodeCommand(call.command);
-		if (command.kind === 'change') {
+		if (command.kind === 'change' || command.kind === 'replace') {
 			throw new InvalidInputError('a gate may begin and finish claims alone');
 		}
 
--- a/packages/control/src/member-directory/index.ts
+++ b/packages/control/src/member-directory/index.ts
@@ -16,22 +16,29 @@
 	readonly member: MemberId;
 	/** Addresses from the settings; the caller may add to them. */
 	readonly addresses: Map<MemberId, string>;
+	/** Addresses at which members may be found whose ids aren't known. */
+	readonly seeds?: readonly string[];
+	/** Milliseconds between two introductions. */
+	readonly introduceIntervalMilliseconds?: number;
 	readonly client: RpcClient;
 	readonly clock: Clock;
 };
 
-const introduceIntervalMilliseconds = 2000;
+const defaultIntroduceIntervalMilliseconds = 2000;
 const firstIntroductionMilliseconds = 50;
 const introduceTimeoutMilliseconds = 1000;
 
 /** The RPC addresses of the members. */
 export class MemberDirectory {
 	readonly #options: MemberDirectoryOptions;
+	readonly #heardAt = new Map<MemberId, number>();
 	#timer: Timer | undefined;
 	#isClosed = false;
+	#seeds: readonly string[];
 
 	constructor(options: MemberDirectoryOptions) {
 		this.#options = options;
+		this.#seeds = options.seeds ?? [];
 	}
 
 	/** Addresses by member. */
@@ -50,12 +57,18 @@
 		for (const [member, address] of message.addresses) {
 			if (member !== this.#options.member) {
 				this.#options.addresses.set(member, address);
+				this.#heardAt.set(member, this.#options.clock.now());
 			}
 		}
 
 		return {addresses: this.#options.addresses};
 	}
 
+	/** Monotonic milliseconds at which a member last introduced itself here; undefined if never. */
+	heardAt(member: MemberId): number | undefined {
+		return member === this.#options.member ? this.#options.clock.now() : this.#heardAt.get(member);
+	}
+
 	/** Addresses of the others. */
 	others(): readonly string[] {
 		return [...this.#options.addresses].filter(([member]) => member !== this.#options.member).map(([, address]) => address);
@@ -73,7 +86,7 @@
 
 		this.#timer = this.#options.clock.startTimer(delay, () => {
 			this.#introduce();
-			this.#introduceLater(introduceIntervalMilliseconds);
+			this.#introduceLater(this.#options.introduceIntervalMilliseconds ?? defaultIntroduceIntervalMilliseconds);
 		});
 	}
 
@@ -81,7 +94,11 @@
 	#introduce(): void {
 		const own = this.#options.addresses.get(this.#options.member)!;
 		const message: IntroduceMessage = {addresses: new Map([[this.#options.member, own]])};
-		for (const address of this.others()) {
+		for (const address of new Set([...this.others(), ...this.#seeds])) {
+			if (address === own) {
+				continue;
+			}
+
 			void this.#introduceTo(address, message);
 		}
 	}
@@ -95,6 +112,17 @@
 		}
 	}
 
+	/** Takes over other addresses at which members may be found. */
+	setSeeds(seeds: readonly string[]): void {
+		this.#seeds = seeds;
+	}
+
+	/** Forgets a member that is gone for good. */
+	forget(member: MemberId): void {
+		this.#options.addresses.delete(member);
+		this.#heardAt.delete(member);
+	}
+
 	/** What a member says of a third one counts only while nothing else is known of it. */
 	#learnUnknown(answer: IntroduceMessage): void {
 		for (const [member, address] of answer.addresses) {
--- a/packages/control/src/report-service/index.ts
+++ b/packages/control/src/report-service/index.ts
@@ -10,6 +10,8 @@
 } from '@fireflyglade/model';
 import type {NodeReport, ReportAnswer, RpcClient} from '@fireflyglade/transport';
 import {shareMethod, type ShareRequest} from '../_lib/control-rpc.js';
+import {choosePeers} from '../_lib/choose-peers/index.js';
+import {NoQuorumError, ShuttingDownError, StorageFailedError} from '../errors/index.js';
 import type {FleetRegistry} from '../fleet-registry/index.js';
 import type {ReplicatedLog} from '../replicated-log/index.js';
 
@@ -21,6 +23,8 @@
 	readonly client: RpcClient;
 	/** Gives the RPC addresses of the other control processes. */
 	readonly otherMembers: () => readonly string[];
+	/** Gives the RPC addresses of all control processes; nodes aren't told of them if absent. */
+	readonly allMembers?: () => readonly string[];
 };
 
 const longestWaitMilliseconds = 5000;
@@ -36,6 +40,8 @@
 	#isClosed = false;
 	#sharedUntil = 0;
 	#shareTimer: Timer | undefined;
+	#currentRead: Promise<boolean> | undefined;
+	#nextRead: Promise<boolean> | undefined;
 	readonly #stopListening: () => void;
 
 	constructor(options: ReportServiceOptions) {
@@ -55,8 +61,15 @@
 		const {registry, clock} = this.#options;
 		registry.observe(report, clock.now(), true);
 		await this.#awaitNewer(report.revision, Math.min(report.waitMilliseconds, longestWaitMilliseconds));
+		const confirmed = await this.#confirm();
 		const update = this.#updateAfter(report.revision);
-		return update === undefined ? {quorum: this.hasQuorum()} : {update, quorum: this.hasQuorum()};
+		const {allMembers} = this.#options;
+		return {
+			...(update === undefined ? {} : {update}),
+			quorum: this.hasQuorum(),
+			confirmed,
+			...(allMembers === undefined ? {} : {control: allMembers(), peers: choosePeers(registry.nodes().filter(node => registry.isHeard(node, clock.now())), report)}),
+		};
 	}
 
 	/** Takes reports that another control process heard. */
@@ -111,6 +124,28 @@
 		});
 	}
 
+	/** One read serves all reports that came before it began. */
+	async #confirm(): Promise<boolean> {
+		this.#nextRead ??= this.#readAfter(this.#currentRead);
+		return this.#nextRead;
+	}
+
+	async #readAfter(previous: Promise<boolean> | undefined): Promise<boolean> {
+		await previous;
+		this.#currentRead = this.#nextRead;
+		this.#nextRead = undefined;
+		try {
+			await this.#options.log.read();
+			return true;
+		} catch (error: unknown) {
+			if (error instanceof NoQuorumError || error instanceof ShuttingDownError || error instanceof StorageFailedError) {
+				return false;
+			}
+
+			throw error;
+		}
+	}
+
 	#updateAfter(revision: Revision): ConfigurationUpdate | undefined {
 		const machine = this.#options.log.machine();
 		const configuration = machine.configuration();
--- a/packages/control/src/statement-service/index.ts
+++ b/packages/control/src/statement-service/index.ts
@@ -77,6 +77,10 @@
 			return `the configuration is at revision ${refusal.actual}, not ${refusal.expected}${winner}`;
 		}
 
+		case 'label-conflict': {
+			return `the configuration in place has label ${refusal.actual}, not ${refusal.expected}`;
+		}
+
 		case 'already-exists': {
 			return `${refusal.what} already exists`;
 		}
--- a/packages/membership/src/gossip-membership/index.ts
+++ b/packages/membership/src/gossip-membership/index.ts
@@ -32,6 +32,8 @@
 };
 
 const relayedProbeLimit = 64;
+/** Addresses to join by that are kept. */
+const largestSeedCount = 16;
 
 /** Gossip membership. */
 export class GossipMembership implements Membership {
@@ -39,7 +41,8 @@
 	readonly #detector: FailureDetector;
 	readonly #office: RoleOffice;
 	readonly #random: SeededRandom;
-	readonly #seeds: readonly string[];
+	#seeds: readonly string[];
+	#isDiscovering: boolean;
 	readonly #heardSeeds = new Set<string>();
 	readonly #relayedProbes = new Map<number, RelayedProbe>();
 	#messages: MembershipMessage[] = [];
@@ -60,6 +63,7 @@
 			revision: self.revision, incarnation, random: this.#random, now,
 		});
 		this.#seeds = seeds.filter(seed => seed !== self.rpcAddress);
+		this.#isDiscovering = options.isDiscovering ?? false;
 		this.#nextGatewayProbeAt = now;
 		this.#nextJoinAt = now;
 		this.#nextSynchronizationAt = now;
@@ -93,6 +97,17 @@
 		return this.#takeActions();
 	}
 
+	/** Takes over further addresses to join by; no more than a few are kept. */
+	addSeeds(addresses: readonly string[]): void {
+		const own = this.#knowledge.self.rpcAddress;
+		const unknown = addresses.filter(address => address !== own && !this.#seeds.includes(address));
+		if (unknown.length > 0) {
+			this.#seeds = [...this.#seeds, ...unknown].slice(-largestSeedCount);
+		}
+
+		this.#isDiscovering &&= addresses.length === 0;
+	}
+
 	describeSelf(description: SelfDescription, now: number): MembershipActions {
 		this.#now = now;
 		this.#knowledge.describeSelf(description, now);
@@ -190,9 +205,7 @@
 	}
 
 	#noteSeed(address: string): void {
-		if (this.#seeds.includes(address)) {
-			this.#heardSeeds.add(address);
-		}
+		this.#heardSeeds.add(address);
 	}
 
 	#takeEvidence(message: MembershipMessage, envelope: Envelope): void {
@@ -418,7 +431,7 @@
 	}
 
 	#updateWitnesses(): void {
-		const hasJoined = this.#heardSeeds.size === this.#seeds.length;
+		const hasJoined = !this.#isDiscovering && this.#seeds.every(address => this.#heardSeeds.has(address));
 		const {witnesses, isProvisional} = chooseWitnesses(this.#knowledge, hasJoined);
 		this.#office.setWitnesses(witnesses, isProvisional, this.#now);
 	}
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -107,6 +107,8 @@
 	readonly self: SelfDescription;
 	/** RPC addresses of nodes to join by. */
 	readonly seeds: readonly string[];
+	/** True if more seeds are told once the node runs: before that it takes no role on its own account. */
+	readonly isDiscovering?: boolean;
 	/** Seed of the random choices. */
 	readonly randomSeed: number;
 	/** Number that differs at each start of the process, so that a restart outranks what was said of the earlier run. */
--- a/packages/model/src/configuration/index.ts
+++ b/packages/model/src/configuration/index.ts
@@ -5,8 +5,8 @@
 */
 
 import {
-	initialRevision,
-	type FailureDomain, type KeyDigest, type KeyId, type NodeId, type Revision, type RouteId, type ServiceName, type TeamName, type UpstreamId,
+	initialLabel, initialRevision,
+	type ConfigurationLabel, type FailureDomain, type KeyDigest, type KeyId, type NodeId, type Revision, type RouteId, type ServiceName, type TeamName, type UpstreamId,
 } from '../identifiers/index.js';
 
 /** A tenant with its rate and burst over all VMs together. */
@@ -16,6 +16,10 @@
 	readonly ratePerSecond: number;
 	/** Requests that may be made at once after a pause. */
 	readonly burst: number;
+	/** True if the team's requests are not limited; rate and burst then only weigh it against other teams. */
+	readonly isUnlimited?: boolean;
+	/** Takes the place of the priority of each route. */
+	readonly priority?: number;
 };
 
 /** A key of a team; only the digest of its secret is kept. */
@@ -29,14 +33,36 @@
 /** What a cut-off failure domain does with keyed requests of a route once keys are no longer fresh. */
 export type CutOffPolicy = 'serve' | 'refuse';
 
-/** A route from a method and path pattern to a service. */
+/** One of the services among which a route divides its requests. */
+export type ServiceShare = {
+	readonly service: ServiceName;
+	/** Part of the requests, in proportion to the sum of the weights. */
+	readonly weight: number;
+};
+
+/** The requests of one host whose path begins with a prefix. */
+export type RoutePrefix = {
+	/** In lower case, without a port. */
+	readonly host: string;
+	/** Begins and ends with a slash; of several that fit, the longest counts. */
+	readonly path: string;
+};
+
+/** A route from a method and path pattern, or from a host and a path prefix, to a service. */
 export type Route = {
 	readonly id: RouteId;
 	/** HTTP method in capitals. */
 	readonly method: string;
 	/** Path pattern; a segment `:name` matches any one segment, a last `**` matches the rest. */
 	readonly path: string;
+	/** The service, or the first of `shares`. */
 	readonly service: ServiceName;
+	/** Services that divide the requests among them; all go to `service` if there is no list. */
+	readonly shares?: readonly ServiceShare[];
+	/** Takes the place of method and path pattern. */
+	readonly prefix?: RoutePrefix;
+	/** Milliseconds within which an answer is worth most. */
+	readonly latencyObjectiveMilliseconds?: number;
 	/** From 0, the most important, to 9. */
 	readonly priority: number;
 	readonly idempotent: boolean;
@@ -50,6 +76,23 @@
 	readonly teams?: readonly TeamName[];
 };
 
+/** What operators say of a service. */
+export type ServiceSettings = {
+	readonly name: ServiceName;
+	/** Path that an upstream answers with 200 while it is healthy. */
+	readonly healthPath: string;
+	/** Connections that one upstream of the service takes from all callers together. */
+	readonly maximumConnections: number;
+};
+
+/** What callers may send, and how long they may take. */
+export type CallerBounds = {
+	readonly maximumHeaderBytes: number;
+	readonly maximumBodyBytes: number;
+	readonly headerTimeoutMilliseconds: number;
+	readonly idleTimeoutMilliseconds: number;
+};
+
 /** A failure domain, with its part of every team's rate and the nodes that grant its leases. */
 export type DomainSettings = {
 	readonly name: FailureDomain;
@@ -67,6 +110,23 @@
 	readonly routes: ReadonlyMap<RouteId, Route>;
 	readonly domains: ReadonlyMap<FailureDomain, DomainSettings>;
 	readonly drainedUpstreams: ReadonlySet<UpstreamId>;
+	/** Label of the last whole configuration that an operator put in place. */
+	readonly label: ConfigurationLabel;
+	readonly services: ReadonlyMap<ServiceName, ServiceSettings>;
+	/** Bounds for callers; those of each node's own settings if absent. */
+	readonly callerBounds?: CallerBounds;
+};
+
+/** The parts that a whole configuration puts in place; failure domains and drained upstreams stay. */
+export type ConfigurationReplacement = {
+	readonly label: ConfigurationLabel;
+	/** Label of the configuration that it builds on. */
+	readonly base: ConfigurationLabel;
+	readonly teams: readonly Team[];
+	readonly keys: readonly Key[];
+	readonly routes: readonly Route[];
+	readonly services: readonly ServiceSettings[];
+	readonly callerBounds?: CallerBounds;
 };
 
 /** One change to the configuration. */
@@ -108,4 +168,6 @@
 	routes: new Map(),
 	domains: new Map(),
 	drainedUpstreams: new Set(),
+	label: initialLabel,
+	services: new Map(),
 };
--- a/packages/model/src/identifiers/index.ts
+++ b/packages/model/src/identifiers/index.ts
@@ -37,6 +37,8 @@
 export type CommandId = Branded<string, 'CommandId'>;
 /** The caller's name for one job of a team, from `Idempotency-Key`. */
 export type JobKey = Branded<string, 'JobKey'>;
+/** Number that an operator gives to a whole configuration; each one is above the one that it replaces. */
+export type ConfigurationLabel = Branded<number, 'ConfigurationLabel'>;
 /** Number of an accepted configuration; it only ever rises. */
 export type Revision = Branded<number, 'Revision'>;
 /** Number that orders the holders of a lease; it only ever rises. */
@@ -100,13 +102,15 @@
 /**
 Makes the identifier of the upstream beside a node.
 
+@param instance - Name that the upstream took at its start, if it has one.
+
 @example
 ```ts
 createUpstreamId(createServiceName('orders'), createNodeId('node-1')); // 'orders.node-1'
 ```
 */
-export function createUpstreamId(service: ServiceName, node: NodeId): UpstreamId {
-	return `${service}.${node}` as UpstreamId;
+export function createUpstreamId(service: ServiceName, node: NodeId, instance?: string): UpstreamId {
+	return (instance === undefined ? `${service}.${node}` : `${service}.${node}.${instance}`) as UpstreamId;
 }
 
 /**
@@ -121,5 +125,8 @@
 	return `${method.toUpperCase()} ${path}` as RouteId;
 }
 
+/** Label of a configuration that was never replaced as a whole. */
+export const initialLabel = 0 as ConfigurationLabel;
+
 /** Revision of a configuration to which nothing was ever changed. */
 export const initialRevision = 0 as Revision;
--- a/packages/model/src/problem/index.ts
+++ b/packages/model/src/problem/index.ts
@@ -21,6 +21,7 @@
 	| 'draining'
 	| 'no-upstream'
 	| 'cut-off'
+	| 'no-configuration'
 	| 'no-quorum'
 	| 'deadline-exceeded'
 	| 'upstream-failed'
@@ -50,6 +51,7 @@
 	draining: 503,
 	'no-upstream': 503,
 	'cut-off': 503,
+	'no-configuration': 503,
 	'no-quorum': 503,
 	'deadline-exceeded': 504,
 	'upstream-failed': 502,
@@ -77,6 +79,16 @@
 	readonly retryAfterMilliseconds?: number;
 };
 
+/** Statuses that say that the work did not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([429, 503]);
+const badGatewayStatus = 502;
+
+/** HTTP status of a problem; one that says that the work did not run is given only where that is certain. */
+export function statusOfProblem({code, outcome}: Pick<Problem, 'code' | 'outcome'>): number {
+	const status = problemStatus[code];
+	return outcome === 'unknown' && notRunStatuses.has(status) ? badGatewayStatus : status;
+}
+
 /** Media type of a problem. */
 export const problemMediaType = 'application/problem+json';
 
@@ -92,7 +104,7 @@
 	return JSON.stringify({
 		type: `urn:fireflyglade:problem:${problem.code}`,
 		title: problem.code,
-		status: problemStatus[problem.code],
+		status: statusOfProblem(problem),
 		code: problem.code,
 		outcome: problem.outcome,
 		detail: problem.detail,
--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -11,11 +11,11 @@
 
 import {
 	UnreachableError,
-	type Clock, type GateLevel, type NodeId, type Problem, type ProblemCode, type RandomSource, type RequestId, type Route, type Target, type TeamName, type Timer, type UpstreamId,
+	type Clock, type GateLevel, type NodeId, type Problem, type ProblemCode, type RandomSource, type RequestId, type Route, type ServiceName, type Target, type TeamName, type Timer, type UpstreamId,
 } from '@fireflyglade/model';
 import {
 	backoffDelay, lowerAttempts, splitAttempts,
-	type AttemptOutcome, type AttemptSplit, type EntryThrottle, type RetryBudget, type Routing, type ThrottleKey,
+	type AttemptOutcome, type AttemptSplit, type EntryThrottle, type RetryBudgets, type Routing, type ThrottleKey,
 } from '@fireflyglade/routing';
 import type {
 	AnswerFlow, AnswerHead, HeaderFields, RequestBody,
@@ -33,6 +33,8 @@
 	readonly rootId: RequestId;
 	readonly team?: TeamName;
 	readonly route: Route;
+	/** The service of the route that this call goes to. */
+	readonly service: ServiceName;
 	readonly priority: number;
 	/** Monotonic milliseconds. */
 	readonly deadline: number;
@@ -53,7 +55,7 @@
 	readonly ownGate: CallRunner;
 	readonly remoteGate: (target: Target) => CallRunner;
 	readonly routing: Routing;
-	readonly retryBudget: RetryBudget;
+	readonly retryBudgets: RetryBudgets;
 	/** Refuses at once what the gates would refuse; nothing is refused so if it is absent. */
 	readonly throttle?: EntryThrottle;
 	readonly clock: Clock;
@@ -91,6 +93,10 @@
 	#retryTimer: Timer | undefined;
 	#lastProblem: Problem | undefined;
 	#mayHaveRun = false;
+	/** True if the last attempt came to its upstream, which spends the retry budget. */
+	#hasArrived = false;
+	#isAnswering = false;
+	#deadlineTimer: Timer | undefined;
 	#isDiscarding = false;
 	#isDone = false;
 
@@ -118,7 +124,7 @@
 
 	/** Sends the first attempt. */
 	start(): void {
-		const {clock, retryBudget, throttle} = this.#options;
+		const {clock, retryBudgets, throttle} = this.#options;
 		const isThrottled = this.#call.depth === 0 && throttle?.shouldRefuse(this.#throttleKey(), clock.now());
 		if (isThrottled) {
 			this.#finish({
@@ -127,7 +133,10 @@
 			return;
 		}
 
-		retryBudget.recordAttempt(clock.now());
+		retryBudgets.of(this.#call.service).recordAttempt(clock.now());
+		this.#deadlineTimer = clock.startTimer(this.#call.deadline - clock.now() + silentGateMilliseconds, () => {
+			this.#passDeadline();
+		});
 		this.#attempt();
 	}
 
@@ -136,7 +145,7 @@
 			return;
 		}
 
-		this.#isDone = true;
+		this.#end();
 		this.#retryTimer?.cancel();
 		const running = this.#running;
 		this.#endAttempt({kind: 'cancelled'});
@@ -144,6 +153,7 @@
 	}
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
+		this.#hasArrived = true;
 		this.#options.throttle?.recordTaken(this.#throttleKey(), this.#options.clock.now());
 		this.#level = note.level;
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
@@ -154,6 +164,7 @@
 			return;
 		}
 
+		this.#isAnswering = true;
 		this.#receiver.onHead(head, flow);
 	}
 
@@ -171,12 +182,13 @@
 			return;
 		}
 
-		this.#isDone = true;
+		this.#end();
 		this.#endAttempt({kind: 'answered', latencyMilliseconds: this.#options.clock.now() - this.#attemptAt});
 		this.#receiver.onEnd(trailers);
 	}
 
 	onProblem(problem: Problem, note: GateNote): void {
+		this.#hasArrived = problem.outcome === 'unknown' || note.hasArrived === true;
 		this.#level = note.level;
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
 		this.#remaining = lowerAttempts(this.#split, problem.outcome === 'not-run' ? {kind: 'not-run'} : {kind: 'ran', unspent: note.retriesLeft});
@@ -203,25 +215,25 @@
 			return;
 		}
 
-		this.#isDone = true;
+		this.#end();
 		this.#receiver.onBroken();
 	}
 
 	#throttleKey(): ThrottleKey {
-		const {team, priority, route} = this.#call;
-		return {service: route.service, ...(team === undefined ? {} : {team}), priority};
+		const {team, priority, service} = this.#call;
+		return {service, ...(team === undefined ? {} : {team}), priority};
 	}
 
 	#attempt(): void {
 		const {routing, clock, random} = this.#options;
 		const now = clock.now();
-		const {route, priority, deadline} = this.#call;
+		const {service, priority, deadline} = this.#call;
 		if (now >= deadline) {
 			this.#finish({code: 'deadline-exceeded', outcome: 'not-run', detail: 'the deadline has passed'});
 			return;
 		}
 
-		const choice = routing.choose({service: route.service, priority, tried: this.#tried}, now, random);
+		const choice = routing.choose({service, priority, tried: this.#tried}, now, random);
 		switch (choice.kind) {
 			case 'target': {
 				this.#send(choice.target, now);
@@ -313,11 +325,13 @@
 			return false;
 		}
 
-		if (!this.#options.retryBudget.takeRetry(this.#options.clock.now())) {
-			return false;
-		}
+		return this.#isSpared() || this.#options.retryBudgets.of(this.#call.service).takeRetry(this.#options.clock.now());
+	}
 
-		return true;
+	/** An attempt at a gate that had no upstream to give costs nobody work, so that its retry needs no budget. */
+	#isSpared(): boolean {
+		const code = this.#lastProblem?.code;
+		return !this.#hasArrived && (code === 'draining' || code === 'no-upstream');
 	}
 
 	#retryLater(): void {
@@ -331,16 +345,43 @@
 		});
 	}
 
+	#end(): void {
+		this.#isDone = true;
+		this.#deadlineTimer?.cancel();
+	}
+
+	/** The gate has not answered by the deadline: whether the work ran isn't known, and the caller waits no longer. */
+	#passDeadline(): void {
+		if (this.#isDone) {
+			return;
+		}
+
+		const running = this.#running;
+		const isAnswering = this.#isAnswering;
+		this.#mayHaveRun ||= this.#target !== undefined;
+		this.#endAttempt({kind: 'failed'});
+		running?.cancel();
+		if (isAnswering) {
+			this.#end();
+			this.#receiver.onBroken();
+			return;
+		}
+
+		this.#finish({code: 'deadline-exceeded', outcome: this.#mayHaveRun ? 'unknown' : 'not-run', detail: 'no answer came before the deadline'});
+	}
+
 	/** Answers a problem; `not-run` only if no attempt may have run. */
 	#finish(problem: Problem): void {
 		if (this.#isDone) {
 			return;
 		}
 
-		this.#isDone = true;
+		this.#end();
 		this.#receiver.onProblem(this.#mayHaveRun ? {...problem, outcome: 'unknown'} : problem);
 	}
 }
 
 const noTargetRetryMilliseconds = 1000;
 const throttledRetryMilliseconds = 500;
+/** Time after the deadline for the gate itself to say what became of the call. */
+const silentGateMilliseconds = 150;
--- a/packages/node/src/_lib/call-attempts/test.ts
+++ b/packages/node/src/_lib/call-attempts/test.ts
@@ -1,7 +1,7 @@
 import {
 	createFailureDomain, createNodeId, createServiceName, createUpstreamId, SeededRandom, SystemClock, type RequestId, type Target,
 } from '@fireflyglade/model';
-import {NodeRetryBudget, TargetRouting} from '@fireflyglade/routing';
+import {ServiceRetryBudgets, TargetRouting} from '@fireflyglade/routing';
 import {expect} from 'chai';
 import {createRoute} from '../../test-support/index.js';
 import {emptyBody} from '../request-body/index.js';
@@ -38,6 +38,7 @@
 			requestId: 'call-1' as RequestId,
 			rootId: 'call-1' as RequestId,
 			route: createRoute('GET', '/orders'),
+			service: createRoute('GET', '/orders').service,
 			priority: 5,
 			deadline: clock.now() + 10_000,
 			maximumAttempts: 3,
@@ -50,7 +51,7 @@
 		}, {
 			onHead: nothing, onData: nothing, onEnd: nothing, onProblem: nothing, onBroken: nothing,
 		}, {
-			node, ownGate: runner, remoteGate: () => runner, routing, retryBudget: new NodeRetryBudget(), clock, random: new SeededRandom(1),
+			node, ownGate: runner, remoteGate: () => runner, routing, retryBudgets: new ServiceRetryBudgets(), clock, random: new SeededRandom(1),
 		});
 		attempts.start();
 		attempts.cancel();
--- a/packages/node/src/_lib/call-fields/index.ts
+++ b/packages/node/src/_lib/call-fields/index.ts
@@ -5,7 +5,6 @@
 import {createHash} from 'node:crypto';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {JobKey, Problem} from '@fireflyglade/model';
-import {timeoutField} from '../peer-fields/index.js';
 
 /** What a caller says of its call. */
 export type CallFields =
@@ -20,7 +19,7 @@
 }
 
 /** Reads the remaining time and the job of a call. */
-export function readCallFields(headers: IncomingHttpHeaders): CallFields {
+export function readCallFields(headers: IncomingHttpHeaders, timeoutField: string): CallFields {
 	const timeout = headers[timeoutField];
 	if (timeout !== undefined && !(typeof timeout === 'string' && timeoutPattern.test(timeout))) {
 		return refuse(`${timeoutField} must be a whole number from 1`);
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -15,6 +15,7 @@
 	BodyBrokenError, selectRequestFields, writeProblem,
 	type RequestBody,
 } from '@fireflyglade/transport';
+import {productCallInterface, type CallInterface} from '../../call-interface/index.js';
 import type {NodeDependencies} from '../../dependencies.js';
 import {CallAttempts, type CallAttemptsOptions, type EntryCall} from '../call-attempts/index.js';
 import {fingerprintJob, readCallFields} from '../call-fields/index.js';
@@ -23,6 +24,7 @@
 import {
 	emptyBody, readFraming, takeBody, type BodyFraming,
 } from '../request-body/index.js';
+import {ShareSequence} from '../share-sequence/index.js';
 import {RequestIds} from '../request-ids/index.js';
 import {
 	checkFraming, mayHaveBody, checkHost, checkPath,
@@ -42,6 +44,9 @@
 	readonly policy: CallPolicy;
 };
 
+/** What a call server takes of the configuration, beside the routes. */
+type CallerTerms = Pick<Configuration, 'callerBounds'>;
+
 type GrantedTerms = Extract<CallTerms, {readonly kind: 'granted'}>;
 
 /** A request that has found its route and its terms. */
@@ -61,18 +66,23 @@
 };
 
 /** Capacity was lacking: the team's token is given back. */
-const capacityRefusals: ReadonlySet<ProblemCode> = new Set(['overloaded', 'queue-timeout', 'draining', 'no-upstream', 'cut-off', 'no-quorum', 'deadline-exceeded']);
+const capacityRefusals: ReadonlySet<ProblemCode> = new Set(['overloaded', 'queue-timeout', 'draining', 'no-upstream', 'cut-off', 'no-quorum', 'deadline-exceeded', 'no-configuration']);
 
 /** Serves calls at a listener. */
 export class CallServer {
 	readonly #options: CallServerOptions;
 	readonly #ids = new RequestIds();
 	readonly #attemptsOf = new WeakMap<FinalAnswer, CallAttempts>();
+	readonly #interface: CallInterface;
+	readonly #shares: ShareSequence;
 	#routes: RequestListener;
+	#terms: CallerTerms = {};
 	#isDraining = false;
 
 	constructor(options: CallServerOptions) {
 		this.#options = options;
+		this.#interface = options.dependencies.callInterface ?? productCallInterface;
+		this.#shares = new ShareSequence(options.dependencies.random);
 		this.#routes = this.#createRoutes(options.dependencies.fleet.configuration());
 	}
 
@@ -80,6 +90,8 @@
 	setConfiguration(configuration: Configuration): void {
 		this.#options.policy.setConfiguration(configuration);
 		this.#routes = this.#createRoutes(configuration);
+		this.#shares.retain(configuration.routes);
+		this.#terms = configuration;
 	}
 
 	/** Refuses new calls from now on. */
@@ -105,15 +117,22 @@
 	}
 
 	#checkHead(request: IncomingMessage): Problem | undefined {
-		const {limits} = this.#options.dependencies.settings;
-		const problem = checkPath(request.url!, limits) ?? checkHost(request) ?? checkFraming(request, limits);
-		if (problem !== undefined || !this.#isDraining) {
+		const {settings, fleet} = this.#options.dependencies;
+		const limits = {...settings.limits, maximumBodyBytes: this.#maximumBodyBytes()};
+		const problem = checkPath(request.url!, limits) ?? checkHost(request, this.#interface.keyField) ?? checkFraming(request, limits);
+		if (problem !== undefined) {
 			return problem;
 		}
 
-		return {
-			code: 'draining', outcome: 'not-run', detail: 'the node shuts down', retryAfterMilliseconds: 0,
-		};
+		if (this.#isDraining) {
+			return drainingNodeProblem;
+		}
+
+		return fleet.hasConfiguration() ? undefined : noConfigurationProblem;
+	}
+
+	#maximumBodyBytes(): number {
+		return this.#terms.callerBounds?.maximumBodyBytes ?? this.#options.dependencies.settings.limits.maximumBodyBytes;
 	}
 
 	#handleRouted(request: IncomingMessage, response: ServerResponse, match: RouteMatch): void {
@@ -131,7 +150,7 @@
 	}
 
 	#handleRoute(request: IncomingMessage, response: ServerResponse, route: Route): void {
-		const fields = readCallFields(request.headers);
+		const fields = readCallFields(request.headers, this.#interface.timeoutField);
 		if (fields.kind === 'refused') {
 			this.#refuse(request, response, fields.problem, route);
 			return;
@@ -233,9 +252,8 @@
 	}
 
 	async #readBody(admitted: Admitted, framing: BodyFraming): Promise<RequestBody> {
-		const {maximumBodyBytes} = this.#options.dependencies.settings.limits;
 		return takeBody(admitted.request, framing, {
-			maximumBytes: maximumBodyBytes,
+			maximumBytes: this.#maximumBodyBytes(),
 			...(admitted.job === undefined ? {} : {wholeBytes: maximumJobBodyBytes}),
 		});
 	}
@@ -273,6 +291,7 @@
 			rootId: terms.rootId ?? requestId,
 			...(team === undefined ? {} : {team}),
 			route,
+			service: this.#shares.next(route),
 			priority: terms.priority,
 			deadline: terms.deadline,
 			maximumAttempts: terms.attempts,
@@ -281,14 +300,25 @@
 			...(job === undefined ? {} : {job: {job, fingerprint: fingerprintJob(method, path, body.open() as Uint8Array | undefined)}}),
 			method,
 			path,
-			headers: selectRequestFields(request.rawHeaders, {
-				...(secret === undefined ? {} : {secret}),
-				connection: request.headers.connection,
-			}),
+			headers: this.#fieldsToPassOn(request, secret),
 			body,
 		};
 	}
 
+	#fieldsToPassOn(request: IncomingMessage, secret: string | undefined): readonly string[] {
+		const {droppedFields, origin} = this.#interface;
+		const fields = selectRequestFields(request.rawHeaders, {
+			...(secret === undefined ? {} : {secret}),
+			connection: request.headers.connection,
+			dropped: droppedFields,
+		});
+		if (origin !== undefined) {
+			fields.push(origin.field, origin.service);
+		}
+
+		return fields;
+	}
+
 	#refuse(request: IncomingMessage, response: ServerResponse, problem: Problem, route?: Route): void {
 		// A request without a body isn't complete yet when its head has come, and needs no new connection.
 		if (mayHaveBody(request) && !request.complete) {
@@ -354,6 +384,15 @@
 	| {readonly kind: 'body'; readonly body: RequestBody}
 	| {readonly kind: 'refused'; readonly problem: Problem};
 
+const noConfigurationRetryMilliseconds = 500;
+const noConfigurationProblem: Problem = {
+	code: 'no-configuration', outcome: 'not-run', detail: 'the node holds no confirmed configuration yet', retryAfterMilliseconds: noConfigurationRetryMilliseconds,
+};
+
+const drainingNodeProblem: Problem = {
+	code: 'draining', outcome: 'not-run', detail: 'the node shuts down', retryAfterMilliseconds: 0,
+};
+
 /** Status in figures for a request whose caller went away. */
 const cancelledStatus = 499;
 
--- a/packages/node/src/_lib/call-types.ts
+++ b/packages/node/src/_lib/call-types.ts
@@ -34,6 +34,8 @@
 	readonly retriesLeft: number;
 	/** Milliseconds that the call and those below it waited at gates. */
 	readonly queuedMilliseconds?: number;
+	/** True if the request came to the upstream, which refused it unrun. */
+	readonly hasArrived?: boolean;
 };
 
 /** Takes the answer to a call. `onEnd`, `onProblem` or `onBroken` is called once, as the last of all. */
--- a/packages/node/src/_lib/caller-identity/index.ts
+++ b/packages/node/src/_lib/caller-identity/index.ts
@@ -9,6 +9,7 @@
 	type Problem, type Route, type TeamName,
 } from '@fireflyglade/model';
 import type {Connectivity} from '@fireflyglade/membership';
+import type {CallInterface} from '../../call-interface/index.js';
 import type {KeyTable} from '../key-table/index.js';
 
 /** For whom a request runs. */
@@ -18,6 +19,7 @@
 	| {readonly kind: 'open'; readonly secret?: string}
 	| {readonly kind: 'refused'; readonly problem: Problem};
 
+const bareKeyPattern = /^[\u0021-\u007E]{1,512}$/;
 const bearerPattern = /^bearer +([\w~+/.-]{1,512}=*) *$/i;
 /** Shorter secrets are looked for nowhere else, as they would match by chance. */
 const shortestSecret = 8;
@@ -53,10 +55,19 @@
 	}
 }
 
+/** Reads the secret of a request by the rules of the interface. */
+function readSecretOf(value: string | string[] | undefined, isBare: boolean): string | undefined {
+	if (!isBare) {
+		return readSecret(typeof value === 'string' ? value : undefined);
+	}
+
+	return typeof value === 'string' && bareKeyPattern.test(value) ? value : undefined;
+}
+
 /** Finds out for whom a request on `route` runs. */
-export function identifyCaller(request: IncomingMessage, route: Route, keys: KeyTable): CallerIdentity {
-	const {authorization} = request.headers;
-	const secret = readSecret(authorization);
+export function identifyCaller(request: IncomingMessage, route: Route, keys: KeyTable, {keyField, isKeyBare}: Pick<CallInterface, 'keyField' | 'isKeyBare'>): CallerIdentity {
+	const field = request.headers[keyField];
+	const secret = readSecretOf(field, isKeyBare);
 	if (secret !== undefined && targetHoldsSecret(request.url!, secret)) {
 		return refuse('bad-request', 'a key must not stand in the path or the query');
 	}
@@ -65,12 +76,12 @@
 		return secret === undefined ? {kind: 'open'} : {kind: 'open', secret};
 	}
 
-	if (authorization === undefined) {
-		return refuse('key-missing', 'the route needs a key in the field authorization');
+	if (field === undefined) {
+		return refuse('key-missing', `the route needs a key in the field ${keyField}`);
 	}
 
 	if (secret === undefined) {
-		return refuse('key-unknown', 'the field authorization holds no key of the form "Bearer <key>"');
+		return refuse('key-unknown', `the field ${keyField} holds no key of the expected form`);
 	}
 
 	const lookup = keys.lookUp(secret);
--- a/packages/node/src/_lib/final-answer/index.ts
+++ b/packages/node/src/_lib/final-answer/index.ts
@@ -3,7 +3,7 @@
 */
 
 import type {ServerResponse} from 'node:http';
-import {problemStatus, type Problem} from '@fireflyglade/model';
+import {statusOfProblem, type Problem} from '@fireflyglade/model';
 import {
 	AnswerWriter, writeProblem,
 	type AnswerFlow, type AnswerHead, type HeaderFields,
@@ -52,7 +52,7 @@
 
 	onProblem(problem: Problem): void {
 		writeProblem(this.#response, problem);
-		this.#end({kind: 'problem', problem, status: problemStatus[problem.code]});
+		this.#end({kind: 'problem', problem, status: statusOfProblem(problem)});
 	}
 
 	onBroken(): void {
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -19,9 +19,7 @@
 import type {
 	CallReceiver, GateCall, GateNote, RunningCall,
 } from '../call-types.js';
-import {
-	contextField, teamField, timeoutField,
-} from '../peer-fields/index.js';
+import {ForeignAnswerError, judgeAnswer} from '../judge-answer/index.js';
 import {drainingProblem, failureProblem, refusalProblem} from '../gate-problems/index.js';
 import {AnswerRecorder, replayAnswer, silentReceiver} from '../stored-answer/index.js';
 import {createTraceparent} from '../trace-context/index.js';
@@ -31,6 +29,9 @@
 const firstFailureStatus = 500;
 const claimRetryMilliseconds = 1000;
 const claimCommitWaitMilliseconds = 2000;
+/** Milliseconds after which an upstream that refused a request may have room again. */
+const upstreamRefusalRetryMilliseconds = 250;
+
 /** One request in the gate. */
 export class GateExchange implements RunningCall, AnswerReceiver {
 	readonly #gate: Gate;
@@ -46,6 +47,8 @@
 	#deadlineTimer: Timer | undefined;
 	#startedAt = 0;
 	#admittedAt: number | undefined;
+	/** True if the upstream refused the request unrun. */
+	#isRefusedByUpstream = false;
 
 	constructor(readonly call: GateCall, receiver: CallReceiver, gate: Gate) {
 		this.#receiver = receiver;
@@ -138,6 +141,24 @@
 	}
 
 	onHead(head: AnswerHead, flow: AnswerFlow): void {
+		if (this.#stage !== 'running') {
+			return;
+		}
+
+		const verdict = judgeAnswer(head, this.call.headers, this.#gate.callInterface);
+		if (verdict === 'foreign') {
+			this.#send?.cancel();
+			this.onFailure({begun: true, answered: false, cause: new ForeignAnswerError('the upstream answered another request')});
+			return;
+		}
+
+		if (verdict === 'not-run') {
+			this.#isRefusedByUpstream = true;
+			flow.resume();
+			this.#endUnsent('failure', {code: 'overloaded', outcome: 'not-run', detail: 'the upstream refused the request', retryAfterMilliseconds: upstreamRefusalRetryMilliseconds});
+			return;
+		}
+
 		this.#stage = 'answering';
 		this.#status = head.status;
 		this.#flow = flow;
@@ -146,11 +167,19 @@
 	}
 
 	onData(chunk: Uint8Array): void {
+		if (this.#stage !== 'answering') {
+			return;
+		}
+
 		this.#recorder?.recordChunk(chunk);
 		this.#receiver.onData(chunk);
 	}
 
 	onEnd(trailers: HeaderFields): void {
+		if (this.#stage !== 'answering') {
+			return;
+		}
+
 		const outcome = this.#status >= firstFailureStatus ? 'failure' : 'success';
 		if (this.#recorder === undefined) {
 			this.#finish(outcome);
@@ -164,7 +193,12 @@
 	}
 
 	onFailure(failure: SendFailure): void {
+		if (this.#stage === 'ended') {
+			return;
+		}
+
 		if (!failure.begun) {
+			this.#gate.noteUnsent(this.#upstream!, failure.cause);
 			this.#endUnsent('failure', {code: 'no-upstream', outcome: 'not-run', detail: 'no connection to the upstream could be opened'});
 			return;
 		}
@@ -291,15 +325,23 @@
 
 	#upstreamFields(): string[] {
 		const {team, deadline, traceparent} = this.call.context;
+		const {contextField, expectedUpstreamField, timeoutField, teamField} = this.#gate.callInterface;
 		const fields = [
 			...this.call.headers,
 			'traceparent',
 			createTraceparent(traceparent),
-			contextField,
-			this.#running!.token,
 			timeoutField,
 			String(Math.max(1, Math.floor(deadline - this.#now()))),
 		];
+		if (contextField !== undefined) {
+			fields.push(contextField, this.#running!.token);
+		}
+
+		const {instance} = this.#upstream!.announced;
+		if (expectedUpstreamField !== undefined && instance !== undefined) {
+			fields.push(expectedUpstreamField, instance);
+		}
+
 		if (team !== undefined) {
 			fields.push(teamField, team);
 		}
@@ -436,7 +478,9 @@
 		const level = this.#upstream?.admission.level(now);
 		const waited = this.#startedAt === 0 ? 0 : (this.#admittedAt ?? now) - this.#startedAt;
 		const queuedMilliseconds = waited + (this.#running?.queuedMilliseconds ?? 0);
-		return {...(level === undefined ? {} : {level}), retriesLeft, queuedMilliseconds};
+		return {
+			...(level === undefined ? {} : {level}), ...(this.#isRefusedByUpstream ? {hasArrived: true} : {}), retriesLeft, queuedMilliseconds,
+		};
 	}
 
 	#now(): number {
--- /dev/null
+++ b/packages/node/src/_lib/key-freshness/index.ts
@@ -0,0 +1,66 @@
+/**
+Tells whether a quorum has confirmed lately enough that the node's configuration,
+and with it the keys, is the newest one.
+
+The age of a confirmation counts from the moment before the question was sent, on
+two clocks: the monotonic one, and one that goes on while the VM is suspended.
+The larger age counts.
+*/
+
+/** The two clocks, in milliseconds. */
+export type FreshnessClocks = {
+	readonly monotonicNow: () => number;
+	/** May be coarse; counts the time for which the VM was suspended. */
+	readonly suspendedNow: () => number;
+};
+
+/** A moment on both clocks. */
+export type FreshnessMoment = {
+	readonly monotonic: number;
+	readonly suspended: number;
+};
+
+/** The age of the last confirmation of the configuration. */
+export class KeyFreshness {
+	readonly #clocks: FreshnessClocks;
+	readonly #boundMilliseconds: number;
+	#confirmed: FreshnessMoment | undefined;
+
+	/** Keys are fresh up to `boundMilliseconds` after the last confirmation. */
+	constructor(clocks: FreshnessClocks, boundMilliseconds: number) {
+		this.#clocks = clocks;
+		this.#boundMilliseconds = boundMilliseconds;
+	}
+
+	/** The present moment, to be taken before a question is sent. */
+	now(): FreshnessMoment {
+		return {monotonic: this.#clocks.monotonicNow(), suspended: this.#clocks.suspendedNow()};
+	}
+
+	/** A quorum confirmed the configuration after `asked`. */
+	confirm(asked: FreshnessMoment): void {
+		if (this.#confirmed === undefined || asked.monotonic > this.#confirmed.monotonic) {
+			this.#confirmed = asked;
+		}
+	}
+
+	/** True once there was a confirmation, however old. */
+	get isConfirmed(): boolean {
+		return this.#confirmed !== undefined;
+	}
+
+	/** Milliseconds since the last confirmation; without one, infinite. */
+	age(): number {
+		if (this.#confirmed === undefined) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		const {monotonic, suspended} = this.now();
+		return Math.max(monotonic - this.#confirmed.monotonic, suspended - this.#confirmed.suspended);
+	}
+
+	/** True while the last confirmation is recent enough. */
+	isFresh(): boolean {
+		return this.age() < this.#boundMilliseconds;
+	}
+}
--- a/packages/node/src/_lib/peer-fields/index.ts
+++ b/packages/node/src/_lib/peer-fields/index.ts
@@ -20,6 +20,8 @@
 export const retriesLeftField = 'fireflyglade-retries-left';
 /** Field with the milliseconds that the call and those below it waited at gates. */
 export const queuedField = 'fireflyglade-queued-ms';
+/** Field that says that a refused request came to the upstream. */
+export const arrivedField = 'fireflyglade-arrived';
 /** Field that marks an answer as a problem which the gate states. */
 export const problemField = 'fireflyglade-problem';
 /** Field with the milliseconds after which a retry may help. */
--- a/packages/node/src/_lib/remote-gate/index.ts
+++ b/packages/node/src/_lib/remote-gate/index.ts
@@ -15,7 +15,7 @@
 	CallReceiver, CallRunner, GateCall, GateNote, RunningCall,
 } from '../call-types.js';
 import {
-	callField, fleetTokenField, formatPeerCall, parseLevel, parseNumberField, parseProblemCode, queuedField, retriesLeftField, retryAfterField, wholeField,
+	arrivedField, callField, fleetTokenField, formatPeerCall, parseLevel, parseNumberField, parseProblemCode, queuedField, retriesLeftField, retryAfterField, wholeField,
 } from '../peer-fields/index.js';
 
 /** What the calls to other gates need. */
@@ -130,7 +130,10 @@
 		const level = parseLevel(head.headers);
 		const retriesLeft = parseNumberField(head.headers, retriesLeftField) ?? 0;
 		const queuedMilliseconds = parseNumberField(head.headers, queuedField) ?? 0;
-		this.#note = {...(level === undefined ? {} : {level}), retriesLeft, queuedMilliseconds};
+		const hasArrived = head.headers[arrivedField] !== undefined;
+		this.#note = {
+			...(level === undefined ? {} : {level}), ...(hasArrived ? {hasArrived} : {}), retriesLeft, queuedMilliseconds,
+		};
 		if (parseProblemCode(head.headers) !== undefined) {
 			this.#problemHead = head;
 			return;
--- a/packages/node/src/_lib/request-guards/index.ts
+++ b/packages/node/src/_lib/request-guards/index.ts
@@ -66,8 +66,8 @@
 	return undefined;
 }
 
-/** Checks that there is one host. */
-export function checkHost(request: IncomingMessage): Problem | undefined {
+/** Checks that host and key stand once. */
+export function checkHost(request: IncomingMessage, keyField: string): Problem | undefined {
 	if (request.httpVersion === '1.1' && request.headers.host === undefined) {
 		return refuse('the field host is missing');
 	}
@@ -79,7 +79,7 @@
 		const {length} = rawHeaders[index]!;
 		if (length === hostLength && rawHeaders[index]!.toLowerCase() === 'host') {
 			hosts += 1;
-		} else if (length === authorizationLength && rawHeaders[index]!.toLowerCase() === 'authorization') {
+		} else if (length === keyField.length && rawHeaders[index]!.toLowerCase() === keyField) {
 			credentials += 1;
 		}
 	}
@@ -88,8 +88,7 @@
 		return refuse('the field host stands twice');
 	}
 
-	return credentials > 1 ? refuse('the field authorization stands twice') : undefined;
+	return credentials > 1 ? refuse(`the field ${keyField} stands twice`) : undefined;
 }
 
 const hostLength = 'host'.length;
-const authorizationLength = 'authorization'.length;
--- a/packages/node/src/_lib/route-table/index.ts
+++ b/packages/node/src/_lib/route-table/index.ts
@@ -9,6 +9,7 @@
 import {H3, type H3Event, type HTTPMethod} from 'h3';
 import {toNodeHandler} from 'h3/node';
 import {createRouteId, type Configuration, type Route} from '@fireflyglade/model';
+import {PrefixTable} from '../prefix-table/index.js';
 
 /** Serves a request that has found its route; the handler writes the whole answer. */
 export type RouteHandler = (request: IncomingMessage, response: ServerResponse, route: RouteMatch) => void;
@@ -36,9 +37,31 @@
 
 /** Builds the request listener that finds the routes of a configuration. */
 export function createRouteListener(configuration: Configuration, handler: RouteHandler): RequestListener {
+	const prefixes = new PrefixTable(configuration.routes.values());
+	const patterns = createPatternListener(configuration, handler);
+	if (prefixes.size === 0) {
+		return patterns;
+	}
+
+	return (request, response) => {
+		const route = prefixes.find(request.headers.host ?? '', request.url!);
+		if (route === undefined) {
+			patterns(request, response);
+			return;
+		}
+
+		handler(request, response, {kind: 'route', route});
+	};
+}
+
+function createPatternListener(configuration: Configuration, handler: RouteHandler): RequestListener {
 	const router = new H3({silent: true});
 	const paths = new Set<string>();
 	for (const route of configuration.routes.values()) {
+		if (route.prefix !== undefined) {
+			continue;
+		}
+
 		router.on(route.method as HTTPMethod, route.path, serveWith({kind: 'route', route}, handler));
 		paths.add(route.path);
 		if (route.method === 'GET' && !configuration.routes.has(createRouteId('HEAD', route.path))) {
--- a/packages/node/src/announce-listener/index.ts
+++ b/packages/node/src/announce-listener/index.ts
@@ -30,11 +30,13 @@
 	readonly listener: RequestListener;
 	readonly #clock: Clock;
 	readonly #handlers: AnnouncementHandlers;
+	readonly #timeoutMilliseconds: number;
 	#silence: Timer | undefined;
 
-	constructor(clock: Clock, handlers: AnnouncementHandlers) {
+	constructor(clock: Clock, handlers: AnnouncementHandlers, timeoutMilliseconds = announcementTimeoutMilliseconds) {
 		this.#clock = clock;
 		this.#handlers = handlers;
+		this.#timeoutMilliseconds = timeoutMilliseconds;
 		const router = new H3({silent: true});
 		router.post('/announce', async event => this.#announce(event));
 		router.delete('/announce', () => this.#leave());
@@ -47,18 +49,27 @@
 	}
 
 	async #announce(event: H3Event): Promise<{readonly accepted: true}> {
-		const announced = await readAnnouncement(event);
+		this.take(await readAnnouncement(event));
+		return {accepted: true};
+	}
+
+	/** Takes an announcement over. */
+	take(announced: AnnouncedUpstream): void {
 		this.#silence?.cancel();
-		this.#silence = this.#clock.startTimer(announcementTimeoutMilliseconds, () => {
+		this.#silence = this.#clock.startTimer(this.#timeoutMilliseconds, () => {
 			this.#handlers.left();
 		});
 		this.#handlers.announced(announced);
-		return {accepted: true};
 	}
 
-	#leave(): {readonly accepted: true} {
+	/** The upstream takes no new work from now on. */
+	leave(): void {
 		this.#silence?.cancel();
 		this.#handlers.left();
+	}
+
+	#leave(): {readonly accepted: true} {
+		this.leave();
 		return {accepted: true};
 	}
 }
--- /dev/null
+++ b/packages/node/src/call-interface/index.ts
@@ -0,0 +1,44 @@
+/**
+The names and habits of the interface at which a node meets callers and the
+upstream beside it. Another interface than the product's own is handed in by
+whoever starts the node.
+*/
+
+import type {ServiceName} from '@fireflyglade/model';
+
+/** How a node meets callers and its upstream. Names of fields are in lower case. */
+export type CallInterface = {
+	/** Field of the caller's key. */
+	readonly keyField: string;
+	/** True if the field holds the key alone, without a scheme. */
+	readonly isKeyBare: boolean;
+	/** Field of the remaining milliseconds, from the caller and to the upstream. */
+	readonly timeoutField: string;
+	/** Field of the team, to the upstream. */
+	readonly teamField: string;
+	/** Field of the token by which the upstream's own calls are matched; none is sent if absent. */
+	readonly contextField?: string;
+	/** Field that tells the upstream at which service a call began. */
+	readonly origin?: {readonly field: string; readonly service: ServiceName};
+	/** Field of the caller's request id, which the upstream repeats in its answer. */
+	readonly echoField?: string;
+	/** Field by which an upstream is told which one is meant; another one refuses. */
+	readonly expectedUpstreamField?: string;
+	/** Field by which an upstream says that it did not run the request. */
+	readonly notRunField?: string;
+	/** True if requests without a key on open routes come from upstreams, as parts of chains that have begun. */
+	readonly openCallsContinueChains: boolean;
+	/** Fields of callers that are never passed on, beside those of the product. */
+	readonly droppedFields: ReadonlySet<string>;
+};
+
+/** The product's own interface. */
+export const productCallInterface: CallInterface = {
+	keyField: 'authorization',
+	isKeyBare: false,
+	timeoutField: 'fireflyglade-timeout-ms',
+	teamField: 'fireflyglade-team',
+	contextField: 'fireflyglade-context',
+	openCallsContinueChains: false,
+	droppedFields: new Set(),
+};
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -23,6 +23,7 @@
 import {EgressPolicy} from '../_lib/egress-policy/index.js';
 import {RemoteGates} from '../_lib/remote-gate/index.js';
 import {TeamCounters} from '../_lib/team-counters/index.js';
+import {UpstreamStatements, type StatementVerdict, type UpstreamStatement} from '../_lib/upstream-statements/index.js';
 
 /** Bound addresses of a node's listeners, `host:port` each. */
 export type NodeAddresses = {
@@ -42,6 +43,12 @@
 	level(): GateLevel | undefined;
 	/** Answers another node's question about a request; to be served over RPC. */
 	answerOutcome(question: OutcomeQuestion): OutcomeAnswer;
+	/** Takes over what an upstream says of itself by another way than the announce listener. */
+	hear(statement: UpstreamStatement): StatementVerdict;
+	/** An upstream takes no new work from now on. */
+	forget(instance: string): void;
+	/** True if callers may come: a confirmed configuration is in force and the node does not stop. */
+	isReady(): boolean;
 	/** Requests that wait or run at the gate or are under way from here. */
 	inFlight(): number;
 	/** Shuts down gracefully; a second call awaits the same end. */
@@ -67,6 +74,7 @@
 	readonly #dependencies: NodeDependencies;
 	readonly #gate: Gate;
 	readonly #remoteGates: RemoteGates;
+	readonly #statements = new UpstreamStatements();
 	readonly #counters = new TeamCounters();
 	readonly #callers: CallServer;
 	readonly #egress: CallServer;
@@ -81,7 +89,13 @@
 	constructor(dependencies: NodeDependencies) {
 		const {clock, credentials, settings, observer} = dependencies;
 		this.#dependencies = dependencies;
-		this.#gate = new Gate({...dependencies, node: settings.node});
+		this.#gate = new Gate({
+			...dependencies,
+			node: settings.node,
+			onUnreachable: () => {
+				this.#announcements.leave();
+			},
+		});
 		this.#remoteGates = new RemoteGates(dependencies);
 		const attempts: CallAttemptsOptions = {
 			...dependencies,
@@ -91,7 +105,7 @@
 			remoteGate: target => this.#remoteGates.to(target),
 		};
 		const shared = {dependencies, attempts, counters: this.#counters};
-		this.#callers = new CallServer({...shared, policy: new CallerPolicy(dependencies.fleet)});
+		this.#callers = new CallServer({...shared, policy: new CallerPolicy(dependencies.fleet, dependencies.callInterface)});
 		this.#egress = new CallServer({...shared, policy: new EgressPolicy(this.#gate.calls)});
 		this.#announcements = new AnnounceListener(clock, {
 			announced: upstream => {
@@ -102,7 +116,7 @@
 				this.#gate.removeUpstream();
 				this.#announceTarget();
 			},
-		});
+		}, dependencies.announcementTimeoutMilliseconds);
 		const gateHandler = new GateListenerHandler({gate: this.#gate, credentials, clock});
 		this.#listeners = {
 			callers: new HttpListener((request, response) => {
@@ -116,7 +130,7 @@
 			}, innerLimits),
 			announce: new HttpListener(this.#announcements.listener, statusLimits),
 			status: new HttpListener(createStatusListener({
-				isReady: () => this.#stopping === undefined,
+				isReady: () => this.isReady(),
 				renderMetrics: async () => observer.renderMetrics(),
 			}), statusLimits),
 		};
@@ -156,6 +170,36 @@
 		return this.#gate.answer(question);
 	}
 
+	hear(statement: UpstreamStatement): StatementVerdict {
+		const {ownUpstreamAddress} = this.#dependencies;
+		if (ownUpstreamAddress !== undefined && ownUpstreamAddress !== statement.address) {
+			return 'of-another-upstream';
+		}
+
+		const verdict = this.#statements.judge(statement);
+		if (verdict !== 'taken') {
+			return verdict;
+		}
+
+		if (statement.isLeaving) {
+			this.#announcements.leave();
+		} else {
+			this.#announcements.take(statement);
+		}
+
+		return verdict;
+	}
+
+	forget(instance: string): void {
+		if (this.#statements.leave(instance)) {
+			this.#announcements.leave();
+		}
+	}
+
+	isReady(): boolean {
+		return this.#stopping === undefined && this.#dependencies.fleet.hasConfiguration();
+	}
+
 	inFlight(): number {
 		return this.#listeners.callers.running + this.#listeners.gate.running + this.#listeners.egress.running;
 	}
@@ -220,7 +264,7 @@
 			listener.discourage();
 		}
 
-		await this.#pause(Math.min(leaveNoticeMilliseconds, settings.shutdownTimeoutMilliseconds / 4));
+		await this.#pause(Math.min(settings.leaveNoticeMilliseconds ?? leaveNoticeMilliseconds, settings.shutdownTimeoutMilliseconds / 2));
 		this.#callers.drain();
 		this.#gate.drain();
 		while (this.inFlight() > 0 && clock.now() < deadline) {
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -7,10 +7,11 @@
 import type {
 	Clock, ProblemCode, ProblemOutcome, RandomSource, RequestId, RouteId, TeamName, UpstreamId,
 } from '@fireflyglade/model';
-import type {RetryBudget, Routing} from '@fireflyglade/routing';
+import type {RetryBudgets, Routing} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import type {ClaimOutcome, ClaimRequest, ClaimResult} from '@fireflyglade/state';
 import type {FleetCredentials, OutcomeAnswer, OutcomeQuestion} from '@fireflyglade/transport';
+import type {CallInterface} from './call-interface/index.js';
 import type {Fleet} from './types.js';
 
 /** Claims of jobs in the replicated log. */
@@ -78,7 +79,13 @@
 	readonly fleet: Fleet;
 	readonly createAdmission: (options: AdmissionOptions) => Admission;
 	readonly routing: Routing;
-	readonly retryBudget: RetryBudget;
+	readonly retryBudgets: RetryBudgets;
+	/** The interface to callers and upstream; the product's own if absent. */
+	readonly callInterface?: CallInterface;
+	/** Address of the only upstream that may announce itself; any if absent. */
+	readonly ownUpstreamAddress?: string;
+	/** Milliseconds of silence after which the upstream counts as gone; three seconds if absent. */
+	readonly announcementTimeoutMilliseconds?: number;
 	readonly claims: JobClaims;
 	readonly outcomes: OutcomeAsker;
 	readonly observer: NodeObserver;
--- a/packages/node/src/fleet-runtime-reporter/index.ts
+++ b/packages/node/src/fleet-runtime-reporter/index.ts
@@ -17,16 +17,21 @@
 export type ReporterOptions = {
 	readonly client: RpcClient;
 	readonly clock: Clock;
-	/** RPC addresses of control processes. */
-	readonly control: readonly string[];
+	/** Gives the RPC addresses of control processes. */
+	readonly control: () => readonly string[];
 	/** Writes the report, without the time to wait. */
 	readonly describe: () => Omit<NodeReport, 'waitMilliseconds'>;
 	readonly takeUpdate: (update: ConfigurationUpdate) => void;
 	readonly observeQuorum: () => void;
+	/** Notes the moment before a report is sent; what it gives is called with the answer, once its update is in force. */
+	readonly beginReport?: () => (answer: ReportAnswer) => void;
+	/** Milliseconds that a control process may hold its answer; a second if absent. */
+	readonly waitMilliseconds?: number;
 };
 
-const waitMilliseconds = 1000;
-const callTimeoutMilliseconds = 2000;
+const defaultWaitMilliseconds = 1000;
+/** Milliseconds for an answer beyond those for which it may be held. */
+const answerTimeoutMilliseconds = 1000;
 const pauseMilliseconds = 200;
 
 /** Reports as long as it is not closed. */
@@ -47,7 +52,7 @@
 	}
 
 	start(): void {
-		if (this.#options.control.length > 0) {
+		if (this.#options.control().length > 0) {
 			void this.#reportOn();
 		}
 	}
@@ -55,7 +60,7 @@
 	/** Reports a revision that the control process does not know of yet. */
 	reportRevision(): void {
 		const report = this.#options.describe();
-		if (this.#isClosed || this.#isFollowed || this.#options.control.length === 0 || report.revision === this.#reported) {
+		if (this.#isClosed || this.#isFollowed || this.#options.control().length === 0 || report.revision === this.#reported) {
 			return;
 		}
 
@@ -69,8 +74,8 @@
 
 	async #reportOn(): Promise<void> {
 		while (!this.#isClosed) {
-			const answer = await this.#report(waitMilliseconds);
-			if (answer?.quorum !== true) {
+			const answer = await this.#report(this.#options.waitMilliseconds ?? defaultWaitMilliseconds);
+			if (answer?.quorum !== true || answer.confirmed === false) {
 				this.#index++;
 				await this.#pause();
 			}
@@ -79,12 +84,14 @@
 
 	/** Sends one report; a failure gives undefined. */
 	async #report(wait: number): Promise<ReportAnswer | undefined> {
-		const {client, control, describe, takeUpdate, observeQuorum} = this.#options;
-		const address = control[this.#index % control.length]!;
+		const {client, control, describe, takeUpdate, observeQuorum, beginReport} = this.#options;
+		const addresses = control();
+		const address = addresses[this.#index % addresses.length]!;
 		const report = {...describe(), waitMilliseconds: wait};
 		this.#reported = report.revision;
+		const endReport = beginReport?.();
 		try {
-			const answer = await client.call(reportMethod, address, report, {timeoutMilliseconds: callTimeoutMilliseconds});
+			const answer = await client.call(reportMethod, address, report, {timeoutMilliseconds: wait + answerTimeoutMilliseconds});
 			if (answer.quorum) {
 				observeQuorum();
 			}
@@ -95,6 +102,7 @@
 				this.#isFollowed = false;
 			}
 
+			endReport?.(answer);
 			return answer;
 		} catch {
 			return undefined;
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -14,7 +14,7 @@
 	TokenRateKeeper, type ChargeOutcome, type HolderView, type RateActions,
 } from '@fireflyglade/rates';
 import type {
-	NodeReport, RpcClient, RpcServer, TeamFigures,
+	NodeReport, ReportAnswer, RpcClient, RpcServer, TeamFigures,
 } from '@fireflyglade/transport';
 import {ConfigurationKeeper} from '../fleet-runtime-configuration/index.js';
 import {
@@ -22,6 +22,7 @@
 } from '../fleet-runtime-methods/index.js';
 import {PeerOutbox} from '../fleet-runtime-outbox/index.js';
 import {ControlReporter} from '../fleet-runtime-reporter/index.js';
+import type {KeyFreshness} from '../_lib/key-freshness/index.js';
 import type {Fleet} from '../types.js';
 
 /** Options of a fleet runtime. */
@@ -36,6 +37,14 @@
 	readonly clock: Clock;
 	/** Seed of the random choices. */
 	readonly randomSeed: number;
+	/** True if other nodes and control processes are learnt from the answers of control. */
+	readonly discovers?: boolean;
+	/** Keys are served only while a quorum has confirmed the configuration lately; always if absent. */
+	readonly freshness?: KeyFreshness;
+	/** Milliseconds that a control process may hold its answer to a report. */
+	readonly reportWaitMilliseconds?: number;
+	/** Called with what changes in the node's view of the fleet, for the log. */
+	readonly onNote?: (event: string, details: Readonly<Record<string, unknown>>) => void;
 };
 
 /** Where the node can be reached, known once its listeners are bound. */
@@ -86,10 +95,14 @@
 	#nextRefreshAt = 0;
 	#lastChargeAt = Number.NEGATIVE_INFINITY;
 	#isFetching = false;
+	#control: readonly string[];
+	#configuredControl: readonly string[];
 
 	constructor(options: FleetRuntimeOptions) {
 		const {node, domain, clock} = options;
 		this.#options = options;
+		this.#control = options.control;
+		this.#configuredControl = options.control;
 		this.#rates = new TokenRateKeeper({node, domain, run: Math.floor(clock.wallNow())});
 		this.#connectivity = {kind: 'control-outage', since: clock.now()};
 	}
@@ -109,14 +122,14 @@
 
 	/** Joins the fleet. */
 	start({rpcAddress, gateUrl, callersUrl}: FleetAddresses): void {
-		const {node, domain, client, clock, control, seeds, randomSeed} = this.#options;
+		const {node, domain, client, clock, seeds, randomSeed, discovers, reportWaitMilliseconds} = this.#options;
 		const self: SelfDescription = {
 			node, domain, rpcAddress, gateUrl, leaving: false, revision: this.configuration().revision, ...(this.#target !== undefined && {target: this.#target}),
 		};
 		this.#self = self;
 		this.#callersUrl = callersUrl;
 		const membership = new GossipMembership({
-			self, seeds, randomSeed, incarnation: Math.floor(clock.wallNow()), now: clock.now(),
+			self, seeds, isDiscovering: discovers ?? false, randomSeed, incarnation: Math.floor(clock.wallNow()), now: clock.now(),
 		});
 		const outbox = new PeerOutbox({
 			client, sender: {node, rpcAddress}, receive: batch => {
@@ -124,7 +137,11 @@
 			},
 		});
 		const reporter = new ControlReporter({
-			client, clock, control,
+			client,
+			clock,
+			control: () => this.#control,
+			...(reportWaitMilliseconds === undefined ? {} : {waitMilliseconds: reportWaitMilliseconds}),
+			beginReport: () => this.#beginReport(),
 			describe: () => this.#describeReport(),
 			takeUpdate: update => {
 				this.#takeUpdate(update);
@@ -163,6 +180,14 @@
 		return this.#keeper.configuration;
 	}
 
+	hasConfiguration(): boolean {
+		return this.#options.freshness?.isConfirmed ?? true;
+	}
+
+	areKeysFresh(): boolean {
+		return this.#options.freshness?.isFresh() ?? true;
+	}
+
 	isKeyWithdrawn(id: KeyId): boolean {
 		return this.#running?.membership.withdrawnKeys().has(id) ?? false;
 	}
@@ -234,6 +259,35 @@
 		this.#figuresSource = source;
 	}
 
+	/** The confirmation that an answer brings counts from now, before the report is sent. */
+	#beginReport(): (answer: ReportAnswer) => void {
+		const {freshness, discovers} = this.#options;
+		const asked = freshness?.now();
+		return answer => {
+			if (answer.confirmed === true && asked !== undefined) {
+				freshness!.confirm(asked);
+			}
+
+			if (discovers === true) {
+				this.#running?.membership.addSeeds(answer.peers ?? []);
+				this.#takeControl(answer.control ?? []);
+			}
+		};
+	}
+
+	/** Takes over the addresses of control processes from changed settings. */
+	setControl(addresses: readonly string[]): void {
+		this.#configuredControl = addresses;
+		this.#control = [...new Set([...addresses, ...this.#control])];
+	}
+
+	/** The addresses of the settings stay, as those of the answer may be gone one day. */
+	#takeControl(addresses: readonly string[]): void {
+		if (addresses.length > 0) {
+			this.#control = [...new Set([...addresses, ...this.#configuredControl])];
+		}
+	}
+
 	#notifyListeners(): void {
 		for (const listener of this.#listeners) {
 			listener();
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -17,7 +17,7 @@
 	CallReceiver, GateCall, GateNote,
 } from '../_lib/call-types.js';
 import {
-	callField, fleetTokenField, formatLevel, levelField, parsePeerCall, problemField, queuedField, retriesLeftField, retryAfterField, SecretCheck, wholeField,
+	arrivedField, callField, fleetTokenField, formatLevel, levelField, parsePeerCall, problemField, queuedField, retriesLeftField, retryAfterField, SecretCheck, wholeField,
 	type PeerCall,
 } from '../_lib/peer-fields/index.js';
 import {readFraming, wholeBodyBytes} from '../_lib/request-body/index.js';
@@ -177,6 +177,10 @@
 		fields[queuedField] = String(Math.round(note.queuedMilliseconds));
 	}
 
+	if (note.hasArrived === true) {
+		fields[arrivedField] = '1';
+	}
+
 	if (note.level !== undefined) {
 		fields[levelField] = formatLevel(note.level);
 	}
--- a/packages/node/src/gate/index.ts
+++ b/packages/node/src/gate/index.ts
@@ -10,6 +10,7 @@
 	type Clock, type GateLevel, type NodeId, type ServiceName, type TeamName, type Timer, type UpstreamId,
 } from '@fireflyglade/model';
 import {HttpSender, type OutcomeAnswer, type OutcomeQuestion} from '@fireflyglade/transport';
+import {productCallInterface, type CallInterface} from '../call-interface/index.js';
 import type {JobClaims, NodeObserver} from '../dependencies.js';
 import {CallTable} from '../_lib/call-table/index.js';
 import type {
@@ -25,6 +26,10 @@
 	readonly address: string;
 	readonly slots: number;
 	readonly connections: number;
+	/** Name that the upstream took at its start; without one it is known by its node. */
+	readonly instance?: string;
+	/** Milliseconds for which the upstream is still slow after its start; unknown if absent. */
+	readonly coldMilliseconds?: number;
 };
 
 /** What a gate is given. */
@@ -34,6 +39,10 @@
 	readonly claims: JobClaims;
 	readonly observer: NodeObserver;
 	readonly createAdmission: (options: AdmissionOptions) => Admission;
+	/** The interface that the upstream speaks; the product's own if absent. */
+	readonly callInterface?: CallInterface;
+	/** Called if the upstream refuses connections. */
+	readonly onUnreachable?: () => void;
 };
 
 /** The upstream that a gate serves now. */
@@ -50,6 +59,7 @@
 export class Gate implements CallRunner {
 	readonly calls = new CallTable();
 	readonly outcomes: OutcomeTable;
+	readonly callInterface: CallInterface;
 	/** Differs at each start of the process. */
 	readonly incarnation = randomUUID();
 	readonly #exchanges = new Map<string, GateExchange>();
@@ -59,6 +69,7 @@
 	#isDraining = false;
 
 	constructor(readonly options: GateOptions) {
+		this.callInterface = options.callInterface ?? productCallInterface;
 		this.outcomes = new OutcomeTable(options.clock.now());
 	}
 
@@ -81,7 +92,7 @@
 	setUpstream(announced: AnnouncedUpstream): void {
 		const {clock, createAdmission, node} = this.options;
 		const current = this.#upstream;
-		if (current?.announced.address === announced.address && current.announced.service === announced.service) {
+		if (current !== undefined && isSameUpstream(current.announced, announced)) {
 			if (current.announced.slots !== announced.slots) {
 				current.admission.setSlots(announced.slots, clock.now());
 			}
@@ -91,14 +102,14 @@
 		}
 
 		this.removeUpstream();
-		const admission = createAdmission({slots: announced.slots, now: clock.now(), cold: true});
+		const admission = createAdmission({slots: announced.slots, now: clock.now(), cold: (announced.coldMilliseconds ?? 1) > 0});
 		admission.setTeamWeights(this.#weights);
 		if (this.#isDraining) {
 			admission.drain();
 		}
 
 		this.#upstream = {
-			id: createUpstreamId(announced.service, node),
+			id: createUpstreamId(announced.service, node, announced.instance),
 			announced,
 			admission,
 			sender: new HttpSender(`http://${announced.address}`, {connections: announced.connections}),
@@ -121,6 +132,13 @@
 		void leaving.sender.close();
 	}
 
+	/** A request could not be sent; an upstream that refuses connections has ended. */
+	noteUnsent(upstream: GateUpstream, cause: NodeJS.ErrnoException): void {
+		if (cause.code === 'ECONNREFUSED' && upstream.id === this.#upstream?.id) {
+			this.options.onUnreachable?.();
+		}
+	}
+
 	/** Sets the weight of each team for the fairness between teams. */
 	setTeamWeights(weights: ReadonlyMap<TeamName, number>): void {
 		this.#weights = weights;
@@ -216,3 +234,7 @@
 		}
 	}
 }
+
+function isSameUpstream(first: AnnouncedUpstream, second: AnnouncedUpstream): boolean {
+	return first.address === second.address && first.service === second.service && first.instance === second.instance;
+}
--- a/packages/node/src/gate/test.ts
+++ b/packages/node/src/gate/test.ts
@@ -198,7 +198,7 @@
 			createRoute('POST', '/orders', {retryLimit: 3, timeoutMilliseconds: 400}),
 			createRoute('GET', '/orders/:id', {retryLimit: 3}),
 		]);
-		entry = await fleet.startNode('entry', {retryBudget: boundlessBudget});
+		entry = await fleet.startNode('entry', {retryBudgets: {of: () => boundlessBudget}});
 		gate = await fleet.startNode('gate', {clock: gateClock});
 		link = new FaultyLink(Number(gate.addresses.gate.split(':')[1]));
 		fleet.shared.gateUrls.set('gate', await link.listen());
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -2,6 +2,9 @@
 The daemon beside each upstream.
 */
 
+export * from './call-interface/index.js';
+export type {StatementVerdict, UpstreamStatement} from './_lib/upstream-statements/index.js';
+export type {AnnouncedUpstream} from './gate/index.js';
 export * from './fleet-runtime/index.js';
 export * from './fleet-runtime-methods/index.js';
 export type * from './types.js';
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -4,15 +4,20 @@
 */
 
 import {randomInt} from 'node:crypto';
+import {uptime} from 'node:os';
 import {GateAdmission} from '@fireflyglade/admission';
-import {SeededRandom, SystemClock, type Revision} from '@fireflyglade/model';
+import {
+	millisecondsInSecond, SeededRandom, SystemClock, type Revision,
+} from '@fireflyglade/model';
 import {ProcessObserver, createSpanRecorder, type SpanRecorder} from '@fireflyglade/observability';
-import {NodeRetryBudget, TargetRouting} from '@fireflyglade/routing';
+import {ServiceRetryBudgets, TargetRouting, type RetryBudgets} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import {
 	GrpcRpcClient, GrpcRpcServer, outcomeMethod,
 	type FleetCredentials,
 } from '@fireflyglade/transport';
+import type {CallInterface} from '../call-interface/index.js';
+import {KeyFreshness} from '../_lib/key-freshness/index.js';
 import {ControlClaims} from '../control-claims/index.js';
 import {createNode, type NodeAddresses, type RunningNode} from '../create-node/index.js';
 import {FleetRuntime} from '../fleet-runtime/index.js';
@@ -22,6 +27,28 @@
 	readonly credentials: FleetCredentials;
 	/** Seed of the random choices; a fresh one if absent. */
 	readonly randomSeed?: number;
+	/** The interface to callers and upstream; the product's own if absent. */
+	readonly callInterface?: CallInterface;
+	/** Address of the only upstream that may announce itself. */
+	readonly ownUpstreamAddress?: string;
+	/** Milliseconds of silence after which the upstream counts as gone. */
+	readonly announcementTimeoutMilliseconds?: number;
+	/** True if other nodes and control processes are learnt from the answers of control. */
+	readonly discovers?: boolean;
+	/** Milliseconds for which keys are served after a quorum has confirmed them; for ever if absent. */
+	readonly keyFreshnessMilliseconds?: number;
+	/** Milliseconds that a control process may hold its answer to a report. */
+	readonly reportWaitMilliseconds?: number;
+	/** Retries that all nodes together may send to a service. */
+	readonly fleetRetryBudget?: FleetRetryBudget;
+};
+
+/** Retries in a window that all nodes together may send to one service. */
+export type FleetRetryBudget = {
+	/** Part of the first attempts. */
+	readonly share: number;
+	/** Retries beside that part, which the nodes divide among them. */
+	readonly fixed: number;
 };
 
 /** A node that takes part in a fleet. */
@@ -29,6 +56,7 @@
 	readonly addresses: NodeAddresses;
 	readonly rpcAddress: string;
 	readonly fleet: FleetRuntime;
+	readonly node: RunningNode;
 	/** Shuts down gracefully: no request is cut within the time that the settings give. */
 	stop(): Promise<void>;
 };
@@ -44,7 +72,16 @@
 	const client = new GrpcRpcClient(credentials);
 	const server = new GrpcRpcServer(credentials);
 	const fleet = new FleetRuntime({
-		node: settings.node, domain: settings.domain, control: settings.control, seeds: settings.seeds, client, clock, randomSeed,
+		node: settings.node,
+		domain: settings.domain,
+		control: settings.control,
+		seeds: settings.seeds,
+		client,
+		clock,
+		randomSeed,
+		...(options.discovers === undefined ? {} : {discovers: options.discovers}),
+		...(options.reportWaitMilliseconds === undefined ? {} : {reportWaitMilliseconds: options.reportWaitMilliseconds}),
+		...(options.keyFreshnessMilliseconds === undefined ? {} : {freshness: createFreshness(clock, options.keyFreshnessMilliseconds)}),
 	});
 	const started: {node?: RunningNode} = {};
 	fleet.register(server);
@@ -62,7 +99,10 @@
 		fleet,
 		createAdmission: admission => new GateAdmission(admission),
 		routing: new TargetRouting({domain: settings.domain, node: settings.node}),
-		retryBudget: new NodeRetryBudget(),
+		retryBudgets: createRetryBudgets(fleet, options.fleetRetryBudget),
+		...(options.callInterface === undefined ? {} : {callInterface: options.callInterface}),
+		...(options.ownUpstreamAddress === undefined ? {} : {ownUpstreamAddress: options.ownUpstreamAddress}),
+		...(options.announcementTimeoutMilliseconds === undefined ? {} : {announcementTimeoutMilliseconds: options.announcementTimeoutMilliseconds}),
 		claims: new ControlClaims({client, control: settings.control, clock}),
 		outcomes: {
 			ask: async (address, question) => client.call(outcomeMethod, address, question, {timeoutMilliseconds: outcomeTimeoutMilliseconds}),
@@ -87,6 +127,7 @@
 		addresses,
 		rpcAddress,
 		fleet,
+		node,
 		async stop() {
 			stopping ??= shutDown();
 			return stopping;
@@ -94,6 +135,24 @@
 	};
 }
 
+/** Fewest nodes among which the fixed part of a fleet's retry budget is divided, as a node that has just started knows few. */
+const fewestNodes = 8;
+
+function createRetryBudgets(fleet: FleetRuntime, budget: FleetRetryBudget | undefined): RetryBudgets {
+	if (budget === undefined) {
+		return new ServiceRetryBudgets();
+	}
+
+	return new ServiceRetryBudgets(attempts => (attempts * budget.share) + (budget.fixed / Math.max(fewestNodes, fleet.targets().length)));
+}
+
+function createFreshness(clock: SystemClock, boundMilliseconds: number): KeyFreshness {
+	return new KeyFreshness({
+		monotonicNow: () => clock.now(),
+		suspendedNow: () => uptime() * millisecondsInSecond,
+	}, boundMilliseconds);
+}
+
 type RevisionState = {
 	readonly revision: Revision;
 	readonly revisionAgeMilliseconds: number;
--- a/packages/node/src/test-support/index.ts
+++ b/packages/node/src/test-support/index.ts
@@ -15,7 +15,7 @@
 	type Configuration, type Key, type KeyDigest, type KeyId, type RequestId, type Revision, type Route, type Target, type Team, type TeamName,
 } from '@fireflyglade/model';
 import type {ChargeOutcome} from '@fireflyglade/rates';
-import {NodeRetryBudget, TargetRouting} from '@fireflyglade/routing';
+import {ServiceRetryBudgets, TargetRouting} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import type {ClaimOutcome, ClaimRequest, ClaimResult} from '@fireflyglade/state';
 import {
@@ -83,6 +83,8 @@
 	readonly refunded: RequestId[] = [];
 	readonly settled: RequestId[] = [];
 	connectivity: Connectivity = {kind: 'connected'};
+	hasConfiguration = true;
+	areKeysFresh = true;
 	chargeOutcome: ChargeOutcome = {kind: 'admitted'};
 	readonly #listeners = new Set<() => void>();
 
@@ -100,6 +102,8 @@
 		let figures: () => readonly TeamFigures[] = () => [];
 		return {
 			configuration: () => this.configuration,
+			hasConfiguration: () => this.hasConfiguration,
+			areKeysFresh: () => this.areKeysFresh,
 			isKeyWithdrawn: id => this.withdrawn.has(id),
 			connectivity: () => this.connectivity,
 			targets: () => [...this.targets.values()],
@@ -233,7 +237,7 @@
 			fleet: this.shared.viewOf(name),
 			createAdmission: options => new GateAdmission({...options, cold: false}),
 			routing: new TargetRouting({domain, node: createNodeId(name)}),
-			retryBudget: new NodeRetryBudget(),
+			retryBudgets: new ServiceRetryBudgets(),
 			claims: this.claims,
 			outcomes: {
 				ask: async (address, question) => this.#ask(address, question),
--- a/packages/routing/src/node-retry-budget/index.ts
+++ b/packages/routing/src/node-retry-budget/index.ts
@@ -14,6 +14,12 @@
 /** Retries in a window that a node with few requests may make all the same. */
 const minimumRetriesInWindow = 10;
 
+/** Gives the retries that a window allows for its first attempts. */
+export type RetryAllowance = (attempts: number) => number;
+
+/** The allowance of a node that knows of no budget for the whole fleet. */
+export const defaultRetryAllowance: RetryAllowance = attempts => Math.max(minimumRetriesInWindow, attempts * retryShare);
+
 type Second = {
 	number: number;
 	attempts: number;
@@ -23,8 +29,10 @@
 /** Caps the retries of a node as a share of its first attempts. */
 export class NodeRetryBudget implements RetryBudget {
 	readonly #seconds: Second[] = [];
+	readonly #allowance: RetryAllowance;
 
-	constructor() {
+	constructor(allowance: RetryAllowance = defaultRetryAllowance) {
+		this.#allowance = allowance;
 		for (let index = 0; index < windowSeconds; index++) {
 			this.#seconds.push({number: Number.NEGATIVE_INFINITY, attempts: 0, retries: 0});
 		}
@@ -45,7 +53,7 @@
 			}
 		}
 
-		if (retries >= Math.max(minimumRetriesInWindow, attempts * retryShare)) {
+		if (retries + 1 > this.#allowance(attempts)) {
 			return false;
 		}
 
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -53,6 +53,11 @@
 	readonly node: NodeId;
 };
 
+/** The retry budget of each service. */
+export type RetryBudgets = {
+	of(service: ServiceName): RetryBudget;
+};
+
 /** Caps retries as a share of first attempts. */
 export type RetryBudget = {
 	/** Counts a first attempt. */
--- a/packages/scenario/src/bench/overload/_lib/relayed-fleet/index.ts
+++ b/packages/scenario/src/bench/overload/_lib/relayed-fleet/index.ts
@@ -18,6 +18,8 @@
 		routes: new Map(sent.routes),
 		domains: new Map(sent.domains),
 		drainedUpstreams: new Set(sent.drainedUpstreams),
+		label: sent.label,
+		services: new Map(sent.services),
 	};
 }
 
@@ -30,6 +32,8 @@
 		routes: [...configuration.routes],
 		domains: [...configuration.domains],
 		drainedUpstreams: [...configuration.drainedUpstreams],
+		label: configuration.label,
+		services: [...configuration.services],
 	};
 }
 
@@ -57,6 +61,14 @@
 		return this.#configuration;
 	}
 
+	hasConfiguration(): boolean {
+		return true;
+	}
+
+	areKeysFresh(): boolean {
+		return true;
+	}
+
 	isKeyWithdrawn(): boolean {
 		return false;
 	}
--- a/packages/scenario/src/bench/overload/_lib/vm-process/index.ts
+++ b/packages/scenario/src/bench/overload/_lib/vm-process/index.ts
@@ -10,7 +10,7 @@
 	type Target,
 } from '@fireflyglade/model';
 import {createNode, type RunningNode} from '@fireflyglade/node';
-import {NodeRetryBudget, TargetRouting} from '@fireflyglade/routing';
+import {ServiceRetryBudgets, TargetRouting} from '@fireflyglade/routing';
 import {StandInUpstream} from '../../../../stand-in-upstream/index.js';
 import {receiveConfiguration, RelayedFleet} from '../relayed-fleet/index.js';
 import {UncontrolledNode} from '../uncontrolled-node/index.js';
@@ -85,7 +85,7 @@
 		fleet,
 		createAdmission: options => new GateAdmission(options),
 		routing: new TargetRouting({domain, node}),
-		retryBudget: new NodeRetryBudget(),
+		retryBudgets: new ServiceRetryBudgets(),
 		claims: {
 			async begin() {
 				return {kind: 'granted'};
--- a/packages/scenario/src/scenario-files/test.ts
+++ b/packages/scenario/src/scenario-files/test.ts
@@ -43,6 +43,7 @@
 		configuration: () => machine.configuration(),
 		changesAfter: revision => machine.changesAfter(revision),
 		resultOf: commandId => machine.resultOf(commandId),
+		document: () => machine.document(),
 		save: () => machine.save(),
 	};
 }
--- a/packages/settings/src/load-node-settings/index.ts
+++ b/packages/settings/src/load-node-settings/index.ts
@@ -24,6 +24,7 @@
 	security: securitySchema,
 	limits: limitsSchema,
 	shutdownTimeoutMilliseconds: shutdownTimeoutSchema,
+	leaveNoticeMilliseconds: z.int().min(0, 'a whole number from 0 on').optional(),
 	log: logSchema,
 	spanFile: fileSchema.optional(),
 });
--- a/packages/settings/src/types.ts
+++ b/packages/settings/src/types.ts
@@ -47,6 +47,8 @@
 	readonly limits: CallerLimits;
 	/** Milliseconds that running requests get at a graceful shutdown. */
 	readonly shutdownTimeoutMilliseconds: number;
+	/** Milliseconds for which a node that stops goes on serving, so that callers and peers can leave; a second if absent. */
+	readonly leaveNoticeMilliseconds?: number;
 	readonly log: LogSettings;
 	/** File for spans; none are written if absent. */
 	readonly spanFile?: string;
--- /dev/null
+++ b/packages/state/src/_lib/find-replacement-refusal.ts
@@ -0,0 +1,97 @@
+/**
+Decides whether a whole configuration may take the place of the present one.
+*/
+
+import {
+	highestPriority, lowestPriority,
+	type Configuration, type ConfigurationReplacement, type KeyDigest, type Route, type ServiceName, type TeamName,
+} from '@fireflyglade/model';
+import type {ChangeRefusal} from '../types.js';
+
+/**
+The refusal of a replacement, or undefined if it may take effect.
+
+The label that it builds on is looked at first, so that the loser of a race is
+told of the conflict and not of its label.
+*/
+export function findReplacementRefusal(configuration: Configuration, replacement: ConfigurationReplacement): ChangeRefusal | undefined {
+	const {label, base} = replacement;
+	if (base !== configuration.label) {
+		return {kind: 'label-conflict', expected: base, actual: configuration.label};
+	}
+
+	if (label <= configuration.label) {
+		return {kind: 'invalid', what: `label ${label} is not above the present one, ${configuration.label}`};
+	}
+
+	const fault = findContentFault(replacement);
+	return fault === undefined ? undefined : {kind: 'invalid', what: fault};
+}
+
+function findContentFault({teams, keys, routes, services}: ConfigurationReplacement): string | undefined {
+	const serviceNames = new Set<ServiceName>(services.map(service => service.name));
+	const teamNames = new Set<TeamName>(teams.map(team => team.name));
+	if (teamNames.size !== teams.length) {
+		return 'two teams have the same name';
+	}
+
+	const digests = new Set<KeyDigest>();
+	for (const key of keys) {
+		if (digests.has(key.digest)) {
+			return 'two teams share a key, or one stands twice';
+		}
+
+		if (!teamNames.has(key.team)) {
+			return `key ${key.id} belongs to no team`;
+		}
+
+		digests.add(key.digest);
+	}
+
+	return findRoutesFault(routes, serviceNames);
+}
+
+function findRoutesFault(routes: readonly Route[], services: ReadonlySet<ServiceName>): string | undefined {
+	const places = new Set<string>();
+	for (const route of routes) {
+		const place = route.prefix === undefined ? route.id : `${route.prefix.host}${route.prefix.path}`;
+		if (places.has(place)) {
+			return `two routes stand at ${place}`;
+		}
+
+		places.add(place);
+		const fault = findRouteFault(route, services);
+		if (fault !== undefined) {
+			return `route ${route.id}: ${fault}`;
+		}
+	}
+
+	return undefined;
+}
+
+function findRouteFault(route: Route, services: ReadonlySet<ServiceName>): string | undefined {
+	const shares = route.shares ?? [{service: route.service, weight: 1}];
+	for (const {service, weight} of shares) {
+		if (!services.has(service)) {
+			return `service ${service} is unknown`;
+		}
+
+		if (!Number.isFinite(weight) || weight < 0) {
+			return 'a weight is a number from 0 on';
+		}
+	}
+
+	if (!shares.some(({weight}) => weight > 0)) {
+		return 'no service has a weight above 0';
+	}
+
+	if (!Number.isSafeInteger(route.priority) || route.priority < highestPriority || route.priority > lowestPriority) {
+		return `priority is a whole number from ${highestPriority} to ${lowestPriority}`;
+	}
+
+	if (!Number.isSafeInteger(route.retryLimit) || route.retryLimit < 0) {
+		return 'retries are a whole number from 0 on';
+	}
+
+	return Number.isFinite(route.timeoutMilliseconds) && route.timeoutMilliseconds > 0 ? undefined : 'the timeout is above 0';
+}
--- a/packages/state/src/_lib/working-configuration.ts
+++ b/packages/state/src/_lib/working-configuration.ts
@@ -4,9 +4,12 @@
 So a long row of changes, as at a restart, costs no copy for each.
 */
 
-import type {Configuration, ConfigurationChange, Revision} from '@fireflyglade/model';
+import type {
+	Configuration, ConfigurationChange, ConfigurationReplacement, Revision,
+} from '@fireflyglade/model';
 import type {ChangeRefusal} from '../types.js';
 import {decideChange, isRefusal} from './decide-change.js';
+import {findReplacementRefusal} from './find-replacement-refusal.js';
 import {inPlaceEditor} from './map-editor.js';
 
 /** A configuration that one owner changes. */
@@ -24,6 +27,9 @@
 			routes: new Map(configuration.routes),
 			domains: new Map(configuration.domains),
 			drainedUpstreams: new Set(configuration.drainedUpstreams),
+			label: configuration.label,
+			services: configuration.services,
+			...(configuration.callerBounds === undefined ? {} : {callerBounds: configuration.callerBounds}),
 		};
 	}
 
@@ -46,6 +52,33 @@
 		return undefined;
 	}
 
+	/** Puts a whole configuration in place; gives the refusal if there is one. */
+	replace(replacement: ConfigurationReplacement, revision: Revision): ChangeRefusal | undefined {
+		const refusal = findReplacementRefusal(this.#working, replacement);
+		if (refusal !== undefined) {
+			return refusal;
+		}
+
+		const {domains, drainedUpstreams} = this.#working;
+		const {label, callerBounds} = replacement;
+		this.#working = {
+			revision,
+			label,
+			teams: new Map(replacement.teams.map(team => [team.name, team])),
+			keys: new Map(replacement.keys.map(key => [key.id, key])),
+			routes: new Map(replacement.routes.map(route => [route.id, route])),
+			services: new Map(replacement.services.map(service => [service.name, service])),
+			domains,
+			drainedUpstreams,
+			...(callerBounds === undefined ? {} : {callerBounds}),
+		};
+		for (const part of ['teams', 'keys', 'routes']) {
+			this.#changedParts.add(part);
+		}
+
+		return undefined;
+	}
+
 	/** The configuration as it is now, which later changes leave as it is. */
 	publish(): Configuration {
 		if (this.#published.revision === this.#working.revision) {
@@ -61,6 +94,9 @@
 			routes: this.#changedParts.has('routes') ? new Map(working.routes) : published.routes,
 			domains: this.#changedParts.has('domains') ? new Map(working.domains) : published.domains,
 			drainedUpstreams: this.#changedParts.has('drainedUpstreams') ? new Set(working.drainedUpstreams) : published.drainedUpstreams,
+			label: working.label,
+			services: working.services,
+			...(working.callerBounds === undefined ? {} : {callerBounds: working.callerBounds}),
 		};
 		this.#changedParts.clear();
 		return this.#published;
--- a/packages/state/src/configuration-state-machine/index.ts
+++ b/packages/state/src/configuration-state-machine/index.ts
@@ -9,8 +9,8 @@
 */
 
 import {
-	UnreachableError, emptyConfiguration,
-	type AcceptedChange, type CommandId, type Configuration, type Revision,
+	UnreachableError, emptyConfiguration, initialLabel,
+	type AcceptedChange, type CallerBounds, type CommandId, type Configuration, type ConfigurationLabel, type Revision,
 } from '@fireflyglade/model';
 import {ClaimTable, type ClaimBounds, type ClaimRecord} from '../_lib/claim-table.js';
 import {CommandResults, digestChange, type KeptResult} from '../_lib/command-results.js';
@@ -19,7 +19,7 @@
 import {WorkingConfiguration} from '../_lib/working-configuration.js';
 import {StateFormatError} from '../errors/index.js';
 import type {
-	ChangeRefusal, Command, CommandResult, StateMachine,
+	AcceptedReplacement, ChangeRefusal, Command, CommandResult, StateMachine,
 } from '../types.js';
 
 /** Bounds of a state machine; they must be the same on every member of the log. */
@@ -51,6 +51,7 @@
 };
 
 type ChangeCommand = Extract<Command, {kind: 'change'}>;
+type ReplaceCommand = Extract<Command, {kind: 'replace'}>;
 
 type SavedConfiguration = {
 	readonly revision: Revision;
@@ -59,6 +60,10 @@
 	readonly routes: ReadonlyArray<readonly [never, never]>;
 	readonly domains: ReadonlyArray<readonly [never, never]>;
 	readonly drainedUpstreams: readonly never[];
+	/** The next three are absent in states that were saved before configurations were replaced as a whole. */
+	readonly label?: ConfigurationLabel;
+	readonly services?: ReadonlyArray<readonly [never, never]>;
+	readonly callerBounds?: CallerBounds;
 };
 
 type SavedState = {
@@ -69,6 +74,8 @@
 	readonly claims: readonly Uint8Array[];
 	readonly elapsedMilliseconds: number;
 	readonly lastAt: number | undefined;
+	readonly document?: Uint8Array;
+	readonly replacements?: readonly AcceptedReplacement[];
 };
 
 /**
@@ -108,6 +115,9 @@
 	readonly #claimEncodings = new EncodingCache<ClaimRecord>();
 	#elapsedMilliseconds = 0;
 	#lastAt: number | undefined;
+	#document: Uint8Array | undefined;
+	/** The accepted whole configurations by their digests, the newest last. */
+	readonly #replacements = new Map<string, AcceptedReplacement>();
 
 	constructor(options: Partial<StateMachineOptions> = {}) {
 		this.#options = {...defaultStateMachineOptions, ...options};
@@ -122,6 +132,10 @@
 				return this.#applyOnce(command);
 			}
 
+			case 'replace': {
+				return this.#replace(command);
+			}
+
 			case 'begin-claim': {
 				return {kind: 'claim', result: this.#claims.begin(command.claim, this.#elapsedMilliseconds)};
 			}
@@ -159,6 +173,10 @@
 		return this.#results.get(commandId)?.result;
 	}
 
+	document(): Uint8Array | undefined {
+		return this.#document;
+	}
+
 	/** The amounts held now. */
 	sizes(): StateMachineSizes {
 		return {claims: this.#claims.size, answerBytes: this.#claims.answerBytes, changes: this.#changes.length};
@@ -175,12 +193,17 @@
 				routes: [...configuration.routes],
 				domains: [...configuration.domains],
 				drainedUpstreams: [...configuration.drainedUpstreams],
+				label: configuration.label,
+				services: [...configuration.services],
+				...(configuration.callerBounds === undefined ? {} : {callerBounds: configuration.callerBounds}),
 			},
 			changes: this.#changeEncodings.encodeAll(this.#changes),
 			results: this.#resultEncodings.encodeAll(this.#results.all()),
 			claims: this.#claimEncodings.encodeAll(this.#claims.records()),
 			elapsedMilliseconds: this.#elapsedMilliseconds,
 			lastAt: this.#lastAt,
+			...(this.#document === undefined ? {} : {document: this.#document}),
+			replacements: [...this.#replacements.values()],
 		});
 	}
 
@@ -192,12 +215,19 @@
 			routes: new Map(saved.configuration.routes),
 			domains: new Map(saved.configuration.domains),
 			drainedUpstreams: new Set(saved.configuration.drainedUpstreams),
+			label: saved.configuration.label ?? initialLabel,
+			services: new Map(saved.configuration.services),
+			...(saved.configuration.callerBounds === undefined ? {} : {callerBounds: saved.configuration.callerBounds}),
 		});
 		this.#changes = [...this.#changeEncodings.decodeAll(saved.changes)];
 		this.#results = new CommandResults(this.#options.maximumResults, this.#resultEncodings.decodeAll(saved.results));
 		this.#claims = new ClaimTable(this.#options, this.#claimEncodings.decodeAll(saved.claims));
 		this.#elapsedMilliseconds = saved.elapsedMilliseconds;
 		this.#lastAt = saved.lastAt;
+		this.#document = saved.document;
+		for (const replacement of saved.replacements ?? []) {
+			this.#replacements.set(replacement.digest, replacement);
+		}
 	}
 
 	#moveTime(at: number): void {
@@ -240,6 +270,36 @@
 		return {kind: 'changed', revision: nextRevision};
 	}
 
+	/**
+	A resend of an accepted configuration is accepted again. Nodes get a whole
+	configuration after a replacement, so the changes before it are not kept.
+	*/
+	#replace({replacement, document, digest}: ReplaceCommand): CommandResult {
+		const accepted = this.#replacements.get(digest);
+		if (accepted !== undefined) {
+			return {kind: 'changed', revision: accepted.revision};
+		}
+
+		const revision = (this.#configuration.revision + 1) as Revision;
+		const refusal = this.#configuration.replace(replacement, revision);
+		if (refusal !== undefined) {
+			return refused(refusal);
+		}
+
+		this.#document = document;
+		this.#replacements.set(digest, {digest, label: replacement.label, revision});
+		for (const oldest of this.#replacements.keys()) {
+			if (this.#replacements.size <= this.#options.maximumResults) {
+				break;
+			}
+
+			this.#replacements.delete(oldest);
+		}
+
+		this.#changes = [];
+		return {kind: 'changed', revision};
+	}
+
 	#keepChange(change: AcceptedChange): void {
 		this.#changes.push(change);
 		// The surplus is cut in large pieces, since a cut moves all that is left.
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -4,7 +4,7 @@
 */
 
 import type {
-	AcceptedChange, CommandId, Configuration, ConfigurationChange, JobKey, NodeId, RequestId, Revision, TeamName,
+	AcceptedChange, CommandId, Configuration, ConfigurationChange, ConfigurationLabel, ConfigurationReplacement, JobKey, NodeId, RequestId, Revision, TeamName,
 } from '@fireflyglade/model';
 
 /** A command as it stands in the replicated log. */
@@ -24,6 +24,17 @@
 		/** Wall-clock milliseconds of the leader. */
 		readonly at: number;
 	}
+	/** Puts a whole configuration in place. A resend is known by its document and is accepted again. */
+	| {
+		readonly kind: 'replace';
+		readonly replacement: ConfigurationReplacement;
+		/** The text as the operator sent it, to be read back. */
+		readonly document: Uint8Array;
+		/** Digest of the document. */
+		readonly digest: string;
+		readonly operator: string;
+		readonly at: number;
+	}
 	| {
 		readonly kind: 'begin-claim';
 		readonly claim: ClaimRequest;
@@ -86,6 +97,8 @@
 export type ChangeRefusal =
 	/** Another change came first; `winner` is the change that led to the present revision. */
 	| {readonly kind: 'revision-conflict'; readonly expected: Revision; readonly actual: Revision; readonly winner: AcceptedChange | undefined}
+	/** A whole configuration builds on another one than that in place. */
+	| {readonly kind: 'label-conflict'; readonly expected: ConfigurationLabel; readonly actual: ConfigurationLabel}
 	| {readonly kind: 'already-exists'; readonly what: string}
 	| {readonly kind: 'not-found'; readonly what: string}
 	| {readonly kind: 'invalid'; readonly what: string};
@@ -97,6 +110,13 @@
 	| {readonly kind: 'claim'; readonly result: ClaimResult}
 	| {readonly kind: 'claim-finished'};
 
+/** A whole configuration that was accepted. */
+export type AcceptedReplacement = {
+	readonly digest: string;
+	readonly label: ConfigurationLabel;
+	readonly revision: Revision;
+};
+
 /** The state machine of a control process. */
 export type StateMachine = {
 	apply(command: Command): CommandResult;
@@ -105,5 +125,7 @@
 	changesAfter(revision: Revision): readonly AcceptedChange[] | undefined;
 	/** The first result of a command, if it is still kept. */
 	resultOf(commandId: CommandId): CommandResult | undefined;
+	/** The text of the last whole configuration that was accepted. */
+	document(): Uint8Array | undefined;
 	save(): Uint8Array;
 };
--- a/packages/transport/src/http-answer/index.ts
+++ b/packages/transport/src/http-answer/index.ts
@@ -5,7 +5,7 @@
 
 import type {ServerResponse} from 'node:http';
 import {
-	formatProblem, millisecondsInSecond, problemMediaType, problemStatus, type Problem,
+	formatProblem, millisecondsInSecond, problemMediaType, statusOfProblem, type Problem,
 } from '@fireflyglade/model';
 import {selectAnswerFields} from '../http-fields/index.js';
 import type {AnswerFlow, AnswerHead, HeaderFields} from '../http-types/index.js';
@@ -78,7 +78,7 @@
 	}
 
 	const body = formatProblem(problem);
-	response.writeHead(problemStatus[problem.code], {...problemFields(problem), ...extraFields, 'content-length': Buffer.byteLength(body)});
+	response.writeHead(statusOfProblem(problem), {...problemFields(problem), ...extraFields, 'content-length': Buffer.byteLength(body)});
 	response.end(body);
 	return true;
 }
--- a/packages/transport/src/http-fields/index.ts
+++ b/packages/transport/src/http-fields/index.ts
@@ -42,13 +42,13 @@
 begins with `fireflyglade-`, and each field whose value holds `secret`.
 */
 export function selectRequestFields(rawFields: readonly string[], options: SelectRequestFieldsOptions = {}): string[] {
-	const {secret, connection} = options;
+	const {secret, connection, dropped} = options;
 	const named = namedByConnection(connection);
 	const selected: string[] = [];
 	for (let index = 0; index + 1 < rawFields.length; index += 2) {
 		const name = rawFields[index]!.toLowerCase();
 		const value = rawFields[index + 1]!;
-		if (isRequestFieldKept(name, named) && !holdsSecret(name, value, secret)) {
+		if (isRequestFieldKept(name, named) && dropped?.has(name) !== true && !holdsSecret(name, value, secret)) {
 			selected.push(name, value);
 		}
 	}
@@ -62,6 +62,8 @@
 	readonly secret?: string;
 	/** Value of the field `Connection`. */
 	readonly connection?: string;
+	/** Further fields that don't pass on, in lower case. */
+	readonly dropped?: ReadonlySet<string>;
 };
 
 function isRequestFieldKept(name: string, named: readonly string[]): boolean {
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -71,6 +71,12 @@
 	readonly update?: ConfigurationUpdate;
 	/** True if this control process has heard its quorum lately. */
 	readonly quorum: boolean;
+	/** True if a quorum confirmed, after the report had come, that nothing is newer than what this answer leaves the node with. */
+	readonly confirmed?: boolean;
+	/** RPC addresses of some nodes that were heard lately, to join by. */
+	readonly peers?: readonly string[];
+	/** RPC addresses of the control processes. */
+	readonly control?: readonly string[];
 };
 
 /** Asks a gate what became of a request whose connection broke. */
--- /dev/null
+++ b/tools/bundle.mjs
@@ -0,0 +1,34 @@
+/**
+Bundles the daemons of the platform, one file each, under `target/`.
+
+The sources are bundled as they are, so that a build needs no compiled packages.
+*/
+
+import {readdirSync} from 'node:fs';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {build} from 'esbuild';
+
+const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
+const packages = readdirSync(path.join(root, 'packages'));
+const alias = Object.fromEntries(packages.map(name => [`@fireflyglade/${name}`, path.join(root, 'packages', name, 'src/index.ts')]));
+
+await build({
+	entryPoints: {
+		node: path.join(root, 'platform/src/node-main.ts'),
+		control: path.join(root, 'platform/src/control-main.ts'),
+	},
+	outdir: path.join(root, 'target'),
+	outExtension: {'.js': '.mjs'},
+	bundle: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'esm',
+	mainFields: ['module', 'main'],
+	alias,
+	legalComments: 'none',
+	sourcemap: false,
+	// Bundled CommonJS modules need a `require`.
+	banner: {js: 'import {createRequire as createBundleRequire} from \'node:module\'; const require = createBundleRequire(import.meta.url);'},
+	logLevel: 'warning',
+});
