--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -29,8 +29,8 @@
 	| {readonly kind: 'wait'; readonly requestId: RequestId}
 	| {readonly kind: 'refuse'; readonly requestId: RequestId; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number};
 
-/** How a request that ran came to its end. */
-export type RunOutcome = 'success' | 'failure' | 'timeout' | 'cancelled';
+/** How a request that ran came to its end; `refused` if the upstream itself refused to run it. */
+export type RunOutcome = 'success' | 'failure' | 'timeout' | 'cancelled' | 'refused';
 
 /** The admission of one gate. One call may start or refuse other requests too: each decision names its request. */
 export type Admission = {
--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -87,6 +87,7 @@
 	#attempts = 0;
 	#queuedMilliseconds = 0;
 	#target: Target | undefined;
+	#lastUpstream: UpstreamId | undefined;
 	#attemptAt = 0;
 	#level: GateLevel | undefined;
 	#running: RunningCall | undefined;
@@ -112,6 +113,11 @@
 		return this.#attempts;
 	}
 
+	/** The last upstream that an attempt was sent to. */
+	get upstream(): UpstreamId | undefined {
+		return this.#lastUpstream;
+	}
+
 	/** Retries that neither this call nor any below it has used. */
 	get retriesLeft(): number {
 		return this.#remaining;
@@ -267,6 +273,7 @@
 		this.#level = undefined;
 		this.#attempts += 1;
 		this.#tried.add(target.upstream);
+		this.#lastUpstream = target.upstream;
 		routing.begin(target.upstream, now);
 		const runner = target.node === node ? ownGate : remoteGate(target);
 		const call = this.#gateCall();
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -16,7 +16,7 @@
 	type RequestBody,
 } from '@fireflyglade/transport';
 import {productCallInterface, type CallInterface} from '../../call-interface/index.js';
-import type {NodeDependencies} from '../../dependencies.js';
+import type {FinishedRequest, NodeDependencies} from '../../dependencies.js';
 import {CallAttempts, type CallAttemptsOptions, type EntryCall} from '../call-attempts/index.js';
 import {fingerprintJob, readCallFields} from '../call-fields/index.js';
 import type {CallPolicy, CallTerms} from '../call-policy.js';
@@ -335,8 +335,7 @@
 			traceparent: '',
 			attempts: 0,
 			whole: true,
-			problem: problem.code,
-			outcome: problem.outcome,
+			...this.#describeProblem(request, problem),
 		});
 	}
 
@@ -361,10 +360,25 @@
 			traceparent,
 			attempts: attempts?.attempts ?? 0,
 			whole: end.kind === 'problem' || (end.kind === 'answered' && end.whole),
-			...(end.kind === 'problem' ? {problem: end.problem.code, outcome: end.problem.outcome} : {}),
+			service: route.service,
+			...(attempts?.upstream === undefined ? {} : {upstream: attempts.upstream}),
+			queuedMilliseconds: attempts?.queuedMilliseconds ?? 0,
+			...(end.kind === 'problem' ? this.#describeProblem(request, end.problem) : {}),
 		});
 	}
 
+	#describeProblem(request: IncomingMessage, problem: Problem): Partial<FinishedRequest> {
+		const {echoField} = this.#interface;
+		const callerRequestId = echoField === undefined ? undefined : request.headers[echoField];
+		return {
+			problem: problem.code,
+			outcome: problem.outcome,
+			detail: problem.detail,
+			...(problem.retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds: problem.retryAfterMilliseconds}),
+			...(typeof callerRequestId === 'string' ? {callerRequestId} : {}),
+		};
+	}
+
 	#count(team: TeamName | undefined, end: AnswerEnd): void {
 		if (team === undefined) {
 			return;
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -155,7 +155,7 @@
 		if (verdict === 'not-run') {
 			this.#isRefusedByUpstream = true;
 			flow.resume();
-			this.#endUnsent('failure', {code: 'overloaded', outcome: 'not-run', detail: 'the upstream refused the request', retryAfterMilliseconds: upstreamRefusalRetryMilliseconds});
+			this.#endUnsent('refused', {code: 'overloaded', outcome: 'not-run', detail: 'the upstream refused the request', retryAfterMilliseconds: upstreamRefusalRetryMilliseconds});
 			return;
 		}
 
--- /dev/null
+++ b/packages/node/src/_lib/judge-answer/test.ts
@@ -0,0 +1,29 @@
+import {expect} from 'chai';
+import {productCallInterface, type CallInterface} from '../../call-interface/index.js';
+import {judgeAnswer} from './index.js';
+
+const named: CallInterface = {
+	...productCallInterface, echoField: 'x-request', notRunField: 'x-not-run', expectedUpstreamField: 'x-expected',
+};
+const sent = ['accept', '*/*', 'x-request', 'r-1'];
+
+describe('judgeAnswer', () => {
+	it('takes an answer that repeats the id of its request', () => {
+		expect(judgeAnswer({status: 200, headers: {'x-request': 'r-1'}}, sent, named)).to.equal('own');
+	});
+
+	it('rejects an answer to another request or without an id', () => {
+		expect(judgeAnswer({status: 200, headers: {'x-request': 'r-2'}}, sent, named)).to.equal('foreign');
+		expect(judgeAnswer({status: 200, headers: {}}, sent, named)).to.equal('foreign');
+	});
+
+	it('believes that the request did not run only where the upstream says so', () => {
+		expect(judgeAnswer({status: 503, headers: {'x-request': 'r-1', 'x-not-run': '1'}}, sent, named)).to.equal('not-run');
+		expect(judgeAnswer({status: 503, headers: {'x-request': 'r-1'}}, sent, named)).to.equal('own');
+		expect(judgeAnswer({status: 421, headers: {}}, sent, named)).to.equal('not-run');
+	});
+
+	it('takes every answer where the interface names no such fields', () => {
+		expect(judgeAnswer({status: 421, headers: {}}, sent, productCallInterface)).to.equal('own');
+	});
+});
--- a/packages/node/src/_lib/key-freshness/index.ts
+++ b/packages/node/src/_lib/key-freshness/index.ts
@@ -10,7 +10,7 @@
 /** The two clocks, in milliseconds. */
 export type FreshnessClocks = {
 	readonly monotonicNow: () => number;
-	/** May be coarse; counts the time for which the VM was suspended. */
+	/** Counts the time for which the VM was suspended. */
 	readonly suspendedNow: () => number;
 };
 
@@ -49,18 +49,19 @@
 		return this.#confirmed !== undefined;
 	}
 
-	/** Milliseconds since the last confirmation; without one, infinite. */
-	age(): number {
+	/** Milliseconds since the last confirmation on both clocks; undefined without one. */
+	age(): FreshnessMoment | undefined {
 		if (this.#confirmed === undefined) {
-			return Number.POSITIVE_INFINITY;
+			return undefined;
 		}
 
 		const {monotonic, suspended} = this.now();
-		return Math.max(monotonic - this.#confirmed.monotonic, suspended - this.#confirmed.suspended);
+		return {monotonic: monotonic - this.#confirmed.monotonic, suspended: suspended - this.#confirmed.suspended};
 	}
 
 	/** True while the last confirmation is recent enough. */
 	isFresh(): boolean {
-		return this.age() < this.#boundMilliseconds;
+		const age = this.age();
+		return age !== undefined && Math.max(age.monotonic, age.suspended) < this.#boundMilliseconds;
 	}
 }
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -5,7 +5,7 @@
 
 import type {Admission, AdmissionOptions} from '@fireflyglade/admission';
 import type {
-	Clock, ProblemCode, ProblemOutcome, RandomSource, RequestId, RouteId, TeamName, UpstreamId,
+	Clock, ProblemCode, ProblemOutcome, RandomSource, RequestId, RouteId, ServiceName, TeamName, UpstreamId,
 } from '@fireflyglade/model';
 import type {RetryBudgets, Routing} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
@@ -46,6 +46,16 @@
 	/** Set if the system made the answer. */
 	readonly problem?: ProblemCode;
 	readonly outcome?: ProblemOutcome;
+	/** What the caller calls the request, if the interface has a name for it. */
+	readonly callerRequestId?: string;
+	readonly service?: ServiceName;
+	/** A sentence on the problem. */
+	readonly detail?: string;
+	readonly retryAfterMilliseconds?: number;
+	/** Milliseconds that the request waited at gates. */
+	readonly queuedMilliseconds?: number;
+	/** The last upstream that an attempt was sent to. */
+	readonly upstream?: UpstreamId;
 };
 
 /** One hop of a request, for the traces. */
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -16,6 +16,7 @@
 import type {
 	NodeReport, ReportAnswer, RpcClient, RpcServer, TeamFigures,
 } from '@fireflyglade/transport';
+import type {Fields} from '@fireflyglade/observability';
 import {ConfigurationKeeper} from '../fleet-runtime-configuration/index.js';
 import {
 	deliverMethod, fetchConfigurationMethod, withdrawKeysMethod, type PeerBatch,
@@ -44,7 +45,7 @@
 	/** Milliseconds that a control process may hold its answer to a report. */
 	readonly reportWaitMilliseconds?: number;
 	/** Called with what changes in the node's view of the fleet, for the log. */
-	readonly onNote?: (event: string, details: Readonly<Record<string, unknown>>) => void;
+	readonly onNote?: (event: string, details: Fields) => void;
 };
 
 /** Where the node can be reached, known once its listeners are bound. */
@@ -95,6 +96,7 @@
 	#nextRefreshAt = 0;
 	#lastChargeAt = Number.NEGATIVE_INFINITY;
 	#isFetching = false;
+	#wasFresh = false;
 	#control: readonly string[];
 	#configuredControl: readonly string[];
 
@@ -345,6 +347,7 @@
 			return;
 		}
 
+		this.#noteFreshness();
 		this.#takeRates(this.#rates.tick(now));
 		if (now >= this.#nextMembershipTickAt) {
 			this.#nextMembershipTickAt = now + membershipTickMilliseconds;
@@ -362,6 +365,20 @@
 		this.#tickLater(now);
 	}
 
+	#noteFreshness(): void {
+		const {freshness, onNote} = this.#options;
+		const isFresh = freshness?.isFresh() ?? true;
+		if (freshness === undefined || isFresh === this.#wasFresh) {
+			return;
+		}
+
+		this.#wasFresh = isFresh;
+		const age = freshness.age();
+		onNote?.(isFresh ? 'key freshness regained' : 'key freshness lost', {
+			monotonicAge: age?.monotonic, suspendedAge: age?.suspended, revision: this.configuration().revision, label: this.configuration().label,
+		});
+	}
+
 	async #answerBatch(batch: PeerBatch): Promise<PeerBatch> {
 		const running = this.#running;
 		if (running === undefined) {
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -4,12 +4,11 @@
 */
 
 import {randomInt} from 'node:crypto';
-import {uptime} from 'node:os';
-import {GateAdmission} from '@fireflyglade/admission';
+import {GateAdmission, type AdmissionOptions, type ConcurrencyLimit} from '@fireflyglade/admission';
+import {SeededRandom, SystemClock, type Revision} from '@fireflyglade/model';
 import {
-	millisecondsInSecond, SeededRandom, SystemClock, type Revision,
-} from '@fireflyglade/model';
-import {ProcessObserver, createSpanRecorder, type SpanRecorder} from '@fireflyglade/observability';
+	ProcessObserver, createSpanRecorder, type Fields, type SpanRecorder,
+} from '@fireflyglade/observability';
 import {ServiceRetryBudgets, TargetRouting, type RetryBudgets} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import {
@@ -18,6 +17,8 @@
 } from '@fireflyglade/transport';
 import type {CallInterface} from '../call-interface/index.js';
 import {KeyFreshness} from '../_lib/key-freshness/index.js';
+import {SuspensionClock} from '../_lib/suspension-clock/index.js';
+import type {FinishedRequest, NodeObserver} from '../dependencies.js';
 import {ControlClaims} from '../control-claims/index.js';
 import {createNode, type NodeAddresses, type RunningNode} from '../create-node/index.js';
 import {FleetRuntime} from '../fleet-runtime/index.js';
@@ -39,6 +40,12 @@
 	readonly keyFreshnessMilliseconds?: number;
 	/** Milliseconds that a control process may hold its answer to a report. */
 	readonly reportWaitMilliseconds?: number;
+	/** Takes what changes in the node's view of the fleet, for the log. */
+	readonly onNote?: (event: string, details: Fields) => void;
+	/** Takes each request that has ended, for the log. */
+	readonly onFinished?: (request: FinishedRequest) => void;
+	/** Makes the concurrency limit of an upstream; an adaptive one if absent. */
+	readonly createLimit?: (options: AdmissionOptions) => ConcurrencyLimit;
 	/** Retries that all nodes together may send to a service. */
 	readonly fleetRetryBudget?: FleetRetryBudget;
 };
@@ -79,6 +86,7 @@
 		client,
 		clock,
 		randomSeed,
+		...(options.onNote === undefined ? {} : {onNote: options.onNote}),
 		...(options.discovers === undefined ? {} : {discovers: options.discovers}),
 		...(options.reportWaitMilliseconds === undefined ? {} : {reportWaitMilliseconds: options.reportWaitMilliseconds}),
 		...(options.keyFreshnessMilliseconds === undefined ? {} : {freshness: createFreshness(clock, options.keyFreshnessMilliseconds)}),
@@ -97,7 +105,7 @@
 		credentials,
 		rpcAddress,
 		fleet,
-		createAdmission: admission => new GateAdmission(admission),
+		createAdmission: admission => new GateAdmission(options.createLimit === undefined ? admission : {...admission, limit: options.createLimit(admission)}),
 		routing: new TargetRouting({domain: settings.domain, node: settings.node}),
 		retryBudgets: createRetryBudgets(fleet, options.fleetRetryBudget),
 		...(options.callInterface === undefined ? {} : {callInterface: options.callInterface}),
@@ -107,7 +115,7 @@
 		outcomes: {
 			ask: async (address, question) => client.call(outcomeMethod, address, question, {timeoutMilliseconds: outcomeTimeoutMilliseconds}),
 		},
-		observer,
+		observer: options.onFinished === undefined ? observer : withFinished(observer, options.onFinished),
 		clock,
 		random: new SeededRandom(randomSeed),
 	});
@@ -135,6 +143,19 @@
 	};
 }
 
+function withFinished(observer: ProcessObserver, onFinished: (request: FinishedRequest) => void): NodeObserver {
+	return {
+		requestFinished(request) {
+			observer.requestFinished(request);
+			onFinished(request);
+		},
+		hopFinished(span) {
+			observer.hopFinished(span);
+		},
+		renderMetrics: async () => observer.renderMetrics(),
+	};
+}
+
 /** Fewest nodes among which the fixed part of a fleet's retry budget is divided, as a node that has just started knows few. */
 const fewestNodes = 8;
 
@@ -147,9 +168,10 @@
 }
 
 function createFreshness(clock: SystemClock, boundMilliseconds: number): KeyFreshness {
+	const suspension = new SuspensionClock(clock);
 	return new KeyFreshness({
 		monotonicNow: () => clock.now(),
-		suspendedNow: () => uptime() * millisecondsInSecond,
+		suspendedNow: () => suspension.now(),
 	}, boundMilliseconds);
 }
 
