--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -7,7 +7,7 @@
 	GossipMembership, type Connectivity, type MembershipActions, type MembershipEvent, type SelfDescription,
 } from '@fireflyglade/membership';
 import {
-	UnreachableError, type Clock, type Configuration, type ConfigurationUpdate, type FailureDomain, type GateLevel, type KeyId, type NodeId, type RequestId,
+	initialLabel, UnreachableError, type Clock, type Configuration, type ConfigurationUpdate, type FailureDomain, type GateLevel, type KeyId, type NodeId, type RequestId,
 	type Target, type TeamName, type Timer,
 } from '@fireflyglade/model';
 import {
@@ -57,7 +57,7 @@
 };
 
 const membershipTickMilliseconds = 100;
-const busyTickMilliseconds = 10;
+const busyTickMilliseconds = 20;
 const busyMilliseconds = 1000;
 const refreshMilliseconds = 500;
 const fetchTimeoutMilliseconds = 1000;
@@ -183,7 +183,8 @@
 	}
 
 	hasConfiguration(): boolean {
-		return this.#options.freshness?.isConfirmed ?? true;
+		const {freshness} = this.#options;
+		return freshness === undefined || (freshness.isConfirmed && this.configuration().label > initialLabel);
 	}
 
 	areKeysFresh(): boolean {
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -44,6 +44,7 @@
 
 	/** Serves one call. */
 	handle(request: IncomingMessage, response: ServerResponse): void {
+		response.sendDate = false;
 		if (this.#check?.matches(request.headers[fleetTokenField]) === false) {
 			response.shouldKeepAlive = false;
 			writeProblem(response, {code: 'peer-refused', outcome: 'not-run', detail: 'only nodes of the fleet may call a gate'});
--- a/packages/rates/src/team-account/index.ts
+++ b/packages/rates/src/team-account/index.ts
@@ -140,7 +140,7 @@
 
 		const isReturning = this.#purse.giveBack(now - idleLoanMilliseconds);
 		this.#proceed(now);
-		if (isReturning || now - this.#reportedAt >= reportMilliseconds || this.#isReportDue()) {
+		if (isReturning || periodOf(now) > periodOf(this.#reportedAt) || this.#isReportDue()) {
 			this.#sendReports(now);
 		}
 	}
@@ -381,3 +381,8 @@
 		return {kind: 'refused', retryAfterMilliseconds: Math.max(1, untilToken, untilDry)};
 	}
 }
+
+/** Number of the reporting period; the periods of all teams begin together, so that their reports travel in one batch. */
+function periodOf(now: number): number {
+	return Math.floor(now / reportMilliseconds);
+}
--- a/packages/routing/src/target-routing/index.ts
+++ b/packages/routing/src/target-routing/index.ts
@@ -7,7 +7,7 @@
 */
 
 import type {
-	GateLevel, RandomSource, ServiceName, Target, UpstreamId,
+	GateLevel, NodeId, RandomSource, ServiceName, Target, UpstreamId,
 } from '@fireflyglade/model';
 import {chooseSubset} from '../choose-subset/index.js';
 import {LatencyFloor} from '../_lib/latency-floor/index.js';
@@ -24,6 +24,12 @@
 
 /** Latency that is assumed of a service whose latency isn't known. */
 const assumedLatencyMilliseconds = 10;
+/** Milliseconds below which a gain is noise, and the way to another failure domain a waste. */
+const leastSpillGainMilliseconds = 5;
+/** Load up to which the target beside the node is preferred. */
+const largestOwnLoad = 0.85;
+/** Load by which the target beside the node may exceed another and still be preferred. */
+const toleratedOwnExcess = 0.1;
 /** Cost of the way to another failure domain where it isn't known. */
 const assumedCrossingMilliseconds = 2;
 
@@ -128,13 +134,13 @@
 			return pickOfTwo(others, now, random);
 		}
 
-		const best = pickOfTwo(own, now, random);
+		const best = preferOwnNode(pickOfTwo(own, now, random), own, this.#options.node, now);
 		if (others.length === 0 || best.load(now) < spillLoad) {
 			return best;
 		}
 
 		const other = pickOfTwo(others, now, random);
-		return spillGain(service, best.load(now), other.load(now)) > 0 ? other : best;
+		return spillGain(service, best.load(now), other.load(now)) > leastSpillGainMilliseconds ? other : best;
 	}
 
 	#recordOutcome(state: TargetState, outcome: AttemptOutcome, now: number): void {
@@ -180,6 +186,12 @@
 	}
 }
 
+/** The target beside the node itself costs no hop between nodes, and is taken while it has room to spare. */
+function preferOwnNode(best: TargetState, states: readonly TargetState[], node: NodeId, now: number): TargetState {
+	const beside = states.find(state => state.target.node === node);
+	return beside !== undefined && beside.part(now) >= 1 && beside.load(now) <= Math.min(largestOwnLoad, best.load(now) + toleratedOwnExcess) ? beside : best;
+}
+
 /** Milliseconds that a request is expected to gain in another failure domain. */
 function spillGain(service: ServiceState, ownLoad: number, otherLoad: number): number {
 	const own = service.own.milliseconds ?? assumedLatencyMilliseconds;
