--- a/packages/admission/src/_lib/sample-window/index.ts
+++ b/packages/admission/src/_lib/sample-window/index.ts
@@ -79,6 +79,7 @@
 				break;
 			}
 
+			case 'refused':
 			case 'failure': {
 				this.#count++;
 				this.#failures++;
--- a/packages/control/src/_lib/next-domain-step/index.ts
+++ b/packages/control/src/_lib/next-domain-step/index.ts
@@ -32,7 +32,7 @@
 @param domains - The domains of the configuration.
 */
 export function nextDomainStep(nodes: readonly HeardNode[], domains: ReadonlyMap<FailureDomain, DomainSettings>): DomainSettings | undefined {
-	const names = new Set(nodes.filter(isPresent).map(({domain}) => domain));
+	const names = new Set(nodes.filter(node => isPresent(node)).map(({domain}) => domain));
 	for (const name of [...names].sort()) {
 		const witnesses = nextWitnesses(nodes.filter(({domain}) => domain === name), domains.get(name)?.witnesses ?? []);
 		if (witnesses !== undefined) {
@@ -44,7 +44,7 @@
 }
 
 function nextWitnesses(nodes: readonly HeardNode[], witnesses: readonly NodeId[]): readonly NodeId[] | undefined {
-	const present = nodes.filter(isPresent).map(({node}) => node).sort();
+	const present = nodes.filter(node => isPresent(node)).map(({node}) => node).sort();
 	const candidates = present.filter(node => !witnesses.includes(node));
 	if (witnesses.length === 0) {
 		return candidates.length === 0 ? undefined : candidates.slice(0, candidates.length < wantedWitnesses ? 1 : wantedWitnesses);
--- a/packages/control/src/_lib/next-domain-step/test.ts
+++ b/packages/control/src/_lib/next-domain-step/test.ts
@@ -12,12 +12,16 @@
 
 describe('nextDomainStep', () => {
 	it('states a domain with three witnesses, or one where there are fewer nodes', () => {
-		expect(nextDomainStep(nodes({a: 0, b: 0, c: 0, d: 0}), new Map())).to.deep.equal({name: north, weight: 1, witnesses: ['a', 'b', 'c']});
+		expect(nextDomainStep(nodes({
+			a: 0, b: 0, c: 0, d: 0,
+		}), new Map())).to.deep.equal({name: north, weight: 1, witnesses: ['a', 'b', 'c']});
 		expect(witnessesAfter(nodes({a: 0, b: 0}), new Map())).to.deep.equal(['a']);
 	});
 
 	it('leaves a domain as it is while its witnesses are heard', () => {
-		expect(nextDomainStep(nodes({a: 0, b: 0, c: 9000, d: 0}), withWitnesses('a', 'b', 'c'))).to.equal(undefined);
+		expect(nextDomainStep(nodes({
+			a: 0, b: 0, c: 9000, d: 0,
+		}), withWitnesses('a', 'b', 'c'))).to.equal(undefined);
 	});
 
 	it('replaces a lost witness one change at a time', () => {
--- a/packages/control/src/member-directory/index.ts
+++ b/packages/control/src/member-directory/index.ts
@@ -79,6 +79,17 @@
 		this.#timer?.cancel();
 	}
 
+	/** Takes over other addresses at which members may be found. */
+	setSeeds(seeds: readonly string[]): void {
+		this.#seeds = seeds;
+	}
+
+	/** Forgets a member that is gone for good. */
+	forget(member: MemberId): void {
+		this.#options.addresses.delete(member);
+		this.#heardAt.delete(member);
+	}
+
 	#introduceLater(delay: number): void {
 		if (this.#isClosed) {
 			return;
@@ -112,17 +123,6 @@
 		}
 	}
 
-	/** Takes over other addresses at which members may be found. */
-	setSeeds(seeds: readonly string[]): void {
-		this.#seeds = seeds;
-	}
-
-	/** Forgets a member that is gone for good. */
-	forget(member: MemberId): void {
-		this.#options.addresses.delete(member);
-		this.#heardAt.delete(member);
-	}
-
 	/** What a member says of a third one counts only while nothing else is known of it. */
 	#learnUnknown(answer: IntroduceMessage): void {
 		for (const [member, address] of answer.addresses) {
--- a/packages/model/src/gate-level/index.ts
+++ b/packages/model/src/gate-level/index.ts
@@ -26,6 +26,8 @@
 	readonly domain: FailureDomain;
 	/** Base URL of the gate listener, `http://address:port`. */
 	readonly gateUrl: string;
+	/** `address:port` of the listener for connections that carry many calls; calls go by HTTP if absent. */
+	readonly channelAddress?: string;
 	/** `address:port` of the node's RPC listener. */
 	readonly rpcAddress: string;
 	/** False if the upstream leaves or its node shuts down: it gets no new work. */
--- /dev/null
+++ b/packages/node/src/_lib/channel-gates/index.ts
@@ -0,0 +1,253 @@
+/**
+Runs calls at the gates of other nodes over one connection to each, that carries
+many calls at once. A call whose body is a stream goes by HTTP, which brings its
+own flow of the request.
+
+Answers the load of a deep call graph: most calls are small, and a hop costs one
+part of a write and of a read in place of an HTTP exchange.
+*/
+
+import type {
+	Problem, ProblemCode, ProblemOutcome, Target,
+} from '@fireflyglade/model';
+import {
+	FrameConnection,
+	type AnswerFlow, type HeaderFields,
+} from '@fireflyglade/transport';
+import type {
+	CallReceiver, CallRunner, GateCall, GateNote, RunningCall,
+} from '../call-types.js';
+import {formatGateCall} from '../gate-call/index.js';
+import {
+	inquire, retriesGiven, unreachableGate, type GateInquiryOptions,
+} from '../gate-inquiry/index.js';
+import {peerMessageKinds as kinds} from '../peer-messages/index.js';
+
+/** What the calls over shared connections need. */
+export type ChannelGatesOptions = GateInquiryOptions & {
+	/** The fleet's secret. */
+	readonly token: string;
+	/** Takes the calls that shared connections don't carry. */
+	readonly fallback: (target: Target) => CallRunner;
+};
+
+/** The gates of other nodes, with one connection to each. */
+export class ChannelGates {
+	readonly #options: ChannelGatesOptions;
+	readonly #channels = new Map<string, Channel>();
+
+	constructor(options: ChannelGatesOptions) {
+		this.#options = options;
+	}
+
+	/** The runner for the gate of a target. */
+	to(target: Target): CallRunner {
+		return {
+			run: (call, receiver) => {
+				const {channelAddress} = target;
+				const isWhole = call.body === undefined || call.body instanceof Uint8Array;
+				return channelAddress === undefined || !isWhole
+					? this.#options.fallback(target).run(call, receiver)
+					: this.#channelTo(channelAddress).run(target, call, receiver);
+			},
+		};
+	}
+
+	/** Closes the connections to gates that are no longer targets, once nothing is under way there. */
+	retain(targets: readonly Target[]): void {
+		const addresses = new Set(targets.map(target => target.channelAddress));
+		for (const [address, channel] of this.#channels) {
+			if (!addresses.has(address) && channel.isIdle) {
+				this.#channels.delete(address);
+				channel.close();
+			}
+		}
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		for (const channel of this.#channels.values()) {
+			channel.close();
+		}
+
+		this.#channels.clear();
+	}
+
+	#channelTo(address: string): Channel {
+		let channel = this.#channels.get(address);
+		if (channel === undefined || channel.isClosed) {
+			channel = new Channel(address, this.#options);
+			this.#channels.set(address, channel);
+		}
+
+		return channel;
+	}
+}
+
+/** One connection to a gate. */
+class Channel {
+	readonly #options: ChannelGatesOptions;
+	readonly #connection: FrameConnection;
+	readonly #calls = new Map<number, ChannelCall>();
+	#count = 0;
+
+	constructor(address: string, options: ChannelGatesOptions) {
+		this.#options = options;
+		this.#connection = FrameConnection.open(address, {
+			onMessage: message => {
+				this.#take(message);
+			},
+			onClosed: () => {
+				this.#endAll();
+			},
+		}, options);
+		this.#connection.send([kinds.hello, options.token]);
+	}
+
+	get isClosed(): boolean {
+		return this.#connection.isClosed;
+	}
+
+	get isIdle(): boolean {
+		return this.#calls.size === 0;
+	}
+
+	run(target: Target, call: GateCall, receiver: CallReceiver): RunningCall {
+		const {clock} = this.#options;
+		this.#count++;
+		const number = this.#count;
+		const running = new ChannelCall(target, call, receiver, this.#flowOf(number), clock.now());
+		this.#calls.set(number, running);
+		const {method, path, headers, body, context} = call;
+		this.#connection.send([kinds.request, number, formatGateCall(call, clock.now()), context.traceparent, method, path, headers, body ?? null]);
+		this.#connection.watch(() => this.#calls.size > 0);
+		return {
+			cancel: () => {
+				if (this.#calls.delete(number)) {
+					running.isCancelled = true;
+					this.#connection.send([kinds.cancel, number]);
+				}
+			},
+		};
+	}
+
+	close(): void {
+		this.#connection.close();
+	}
+
+	#flowOf(number: number): AnswerFlow {
+		return {
+			pause: () => {
+				this.#connection.send([kinds.pause, number]);
+			},
+			resume: () => {
+				this.#connection.send([kinds.resume, number]);
+			},
+		};
+	}
+
+	#take(message: readonly unknown[]): void {
+		const number = message[1] as number;
+		const call = this.#calls.get(number);
+		if (call?.take(message)) {
+			this.#calls.delete(number);
+		}
+	}
+
+	#endAll(): void {
+		const calls = [...this.#calls.values()];
+		this.#calls.clear();
+		for (const call of calls) {
+			call.lose(this.#connection.wasConnected, this.#options);
+		}
+	}
+}
+
+/** One call on a connection. */
+class ChannelCall {
+	isCancelled = false;
+	readonly #target: Target;
+	readonly #call: GateCall;
+	readonly #receiver: CallReceiver;
+	readonly #flow: AnswerFlow;
+	readonly #sentAt: number;
+	#isAnswered = false;
+	#isPaused = false;
+
+	constructor(target: Target, call: GateCall, receiver: CallReceiver, flow: AnswerFlow, sentAt: number) {
+		this.#target = target;
+		this.#call = call;
+		this.#receiver = receiver;
+		this.#flow = flow;
+		this.#sentAt = sentAt;
+	}
+
+	/** Takes a message of the gate; returns true if it is the last one. */
+	take(message: readonly unknown[]): boolean {
+		const [kind] = message;
+		switch (kind) {
+			case kinds.head: {
+				const [status, headers, note] = message.slice(2) as [number, HeaderFields, GateNote];
+				this.#isAnswered = true;
+				this.#receiver.onHead({status, headers}, {
+					pause: () => {
+						this.#isPaused = true;
+						this.#flow.pause();
+					},
+					resume: () => {
+						if (this.#isPaused) {
+							this.#isPaused = false;
+							this.#flow.resume();
+						}
+					},
+				}, note);
+				return false;
+			}
+
+			case kinds.data: {
+				this.#receiver.onData(message[2] as Uint8Array);
+				return false;
+			}
+
+			case kinds.end: {
+				this.#receiver.onEnd(message[2] as HeaderFields);
+				return true;
+			}
+
+			case kinds.problem: {
+				const [code, outcome, detail, wait, note] = message.slice(2) as [ProblemCode, ProblemOutcome, string, number | undefined, GateNote];
+				const problem: Problem = {
+					code, outcome, detail, ...(wait === null ? {} : {retryAfterMilliseconds: wait}),
+				};
+				this.#receiver.onProblem(problem, note);
+				return true;
+			}
+
+			case kinds.broken: {
+				this.#receiver.onBroken();
+				return true;
+			}
+
+			default: {
+				return false;
+			}
+		}
+	}
+
+	/** The connection was lost. */
+	lose(wasConnected: boolean, options: GateInquiryOptions): void {
+		if (this.#isAnswered) {
+			this.#receiver.onBroken();
+			return;
+		}
+
+		if (!wasConnected) {
+			this.#receiver.onProblem(unreachableGate, {retriesLeft: retriesGiven(this.#call)});
+			return;
+		}
+
+		void inquire({
+			target: this.#target, call: this.#call, sentAt: this.#sentAt, receiver: this.#receiver, isCancelled: () => this.isCancelled,
+		}, options);
+	}
+}
--- /dev/null
+++ b/packages/node/src/_lib/channel-gates/test.ts
@@ -0,0 +1,202 @@
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {expect} from 'chai';
+import * as fc from 'fast-check';
+import {request} from 'undici';
+import {createFailureDomain, type Target} from '@fireflyglade/model';
+import type {RunningNode} from '../../create-node/index.js';
+import {
+	createRoute, secretOfRed, TestFleet, waitUntil,
+	type RecordingUpstream,
+} from '../../test-support/index.js';
+
+const authorization = `Bearer ${secretOfRed}`;
+
+type Seen = {
+	/** Absent if the connection broke without an answer. */
+	readonly status?: number;
+	readonly outcome?: string;
+	readonly text?: string;
+};
+
+async function send(node: RunningNode, job: string, body = 'wood'): Promise<Seen> {
+	try {
+		const answer = await request(`http://${node.addresses.callers}/orders`, {method: 'POST', headers: {authorization, 'x-job': job}, body});
+		const text = await answer.body.text();
+		return {status: answer.statusCode, outcome: answer.headers['fireflyglade-outcome'] as string | undefined, text};
+	} catch {
+		return {};
+	}
+}
+
+/** How a link fails, after a number of bytes in one direction. */
+type LinkFault = {
+	readonly direction: 'to-gate' | 'from-gate' | 'none';
+	readonly afterBytes: number;
+	readonly kind: 'reset' | 'silence';
+};
+
+const noFault: LinkFault = {direction: 'none', afterBytes: 0, kind: 'reset'};
+
+/** A link that resets or falls silent after some bytes, once for each connection. */
+class FailingLink {
+	fault: LinkFault = noFault;
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+
+	constructor(address: () => string) {
+		this.#server = createServer(near => {
+			const [host, port] = address().split(':') as [string, string];
+			const far = connect(Number(port), host);
+			const {fault} = this;
+			this.#pass(near, far, fault.direction === 'to-gate' ? fault : noFault);
+			this.#pass(far, near, fault.direction === 'from-gate' ? fault : noFault);
+		});
+	}
+
+	async listen(): Promise<string> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** Resets all connections; new ones fail as told. */
+	reset(fault: LinkFault): void {
+		this.fault = fault;
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	close(): void {
+		this.reset(noFault);
+		this.#server.close();
+	}
+
+	#pass(from: Socket, to: Socket, fault: LinkFault): void {
+		let left = fault.direction === 'none' ? Number.POSITIVE_INFINITY : fault.afterBytes;
+		this.#sockets.add(from);
+		from.on('error', () => undefined);
+		from.on('close', () => {
+			this.#sockets.delete(from);
+			to.destroy();
+		});
+		from.on('data', (bytes: Uint8Array) => {
+			const passed = bytes.subarray(0, left);
+			left -= passed.length;
+			to.write(passed);
+			if (left <= 0 && fault.kind === 'reset') {
+				to.destroy();
+				from.destroy();
+			}
+		});
+	}
+}
+
+describe('ChannelGates', () => {
+	let fleet: TestFleet;
+	let entry: RunningNode;
+	let gate: RunningNode;
+	let upstream: RecordingUpstream;
+	let link: FailingLink;
+	let gateTarget: () => Target;
+	let count = 0;
+
+	before(async () => {
+		fleet = new TestFleet([createRoute('POST', '/orders', {retryLimit: 1, timeoutMilliseconds: 4000})]);
+		const channelAddress = '127.0.0.1:0';
+		let own = '';
+		link = new FailingLink(() => own);
+		fleet.shared.channelAddresses.set('gate', await link.listen());
+		entry = await fleet.startNode('entry', {channelAddress});
+		gate = await fleet.startNode('gate', {channelAddress, onChannelListening(address) {
+			own = address;
+		}});
+		upstream = await fleet.startUpstream(gate);
+		gateTarget = () => fleet.shared.targets.get('gate')!;
+	});
+
+	after(async () => {
+		link.close();
+		await fleet.stop();
+	});
+
+	const runsOf = (job: string): number => upstream.received.filter(received => received.headers['x-job'] === job).length;
+
+	it('carries a call and its answer', async () => {
+		const seen = await send(entry, 'plain');
+		expect(seen.status).to.equal(200);
+		expect(runsOf('plain')).to.equal(1);
+		expect(gateTarget().domain).to.equal(createFailureDomain('north'));
+	});
+
+	it('carries many calls at once, each to its own answer', async () => {
+		upstream.handler = (message, response) => {
+			message.resume();
+			setTimeout(() => {
+				response.end(`answer to ${String(message.headers['x-job'])}`);
+			}, Math.random() * 20);
+		};
+
+		const seen = await Promise.all(Array.from({length: 60}, async (_, index) => send(entry, `many-${index}`)));
+		expect(seen.map(({text}) => text)).to.deep.equal(seen.map((_, index) => `answer to many-${index}`));
+	});
+
+	it('carries a large answer to a slow reader without holding it in memory at once', async () => {
+		const size = 3_000_000;
+		upstream.handler = (message, response) => {
+			message.resume();
+			response.end(Buffer.alloc(size, 'x'));
+		};
+
+		const seen = await send(entry, 'large');
+		expect(seen.text).to.have.length(size);
+	});
+
+	it('breaks a call off at the upstream when the caller leaves', async () => {
+		upstream.handler = message => {
+			message.resume();
+		};
+
+		const controller = new AbortController();
+		const pending = request(`http://${entry.addresses.callers}/orders`, {
+			method: 'POST', headers: {authorization, 'x-job': 'left'}, body: 'wood', signal: controller.signal,
+		});
+		await waitUntil(() => runsOf('left') === 1);
+		controller.abort();
+		await pending.catch(() => undefined);
+		await waitUntil(() => upstream.received.find(received => received.headers['x-job'] === 'left')!.isCancelled);
+	});
+
+	it('says not-run only of work that did not run, and runs no order twice, wherever the link fails', async () => {
+		upstream.handler = (message, response) => {
+			message.resume();
+			message.on('end', () => {
+				response.end('done');
+			});
+		};
+
+		const fault = fc.record<LinkFault>({
+			direction: fc.constantFrom('to-gate', 'from-gate'), afterBytes: fc.integer({min: 1, max: 1500}), kind: fc.constantFrom('reset', 'reset', 'reset', 'silence'),
+		});
+		await fc.assert(fc.asyncProperty(fault, fc.integer({min: 1, max: 4}), async (linkFault, calls) => {
+			link.reset(linkFault);
+			count++;
+			const jobs = Array.from({length: calls}, (_, index) => `job-${count}-${index}`);
+			const seen = await Promise.all(jobs.map(async job => send(entry, job)));
+			for (const [index, job] of jobs.entries()) {
+				const runs = runsOf(job);
+				expect(runs, JSON.stringify(linkFault)).to.be.at.most(1);
+				if (seen[index]!.outcome === 'not-run') {
+					expect(runs, `not-run after ${JSON.stringify(linkFault)}`).to.equal(0);
+				}
+
+				if (seen[index]!.status === 200) {
+					expect(runs).to.equal(1);
+				}
+			}
+		}), {seed: 5, numRuns: 40});
+	}).timeout(120_000);
+});
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -155,7 +155,9 @@
 		if (verdict === 'not-run') {
 			this.#isRefusedByUpstream = true;
 			flow.resume();
-			this.#endUnsent('refused', {code: 'overloaded', outcome: 'not-run', detail: 'the upstream refused the request', retryAfterMilliseconds: upstreamRefusalRetryMilliseconds});
+			this.#endUnsent('refused', {
+				code: 'overloaded', outcome: 'not-run', detail: 'the upstream refused the request', retryAfterMilliseconds: upstreamRefusalRetryMilliseconds,
+			});
 			return;
 		}
 
--- a/packages/node/src/_lib/prefix-table/index.ts
+++ b/packages/node/src/_lib/prefix-table/index.ts
@@ -7,7 +7,7 @@
 /** The routes of a configuration that have a prefix. */
 export class PrefixTable {
 	readonly #hosts = new Map<string, Map<string, Route>>();
-	#size = 0;
+	readonly #size = 0;
 
 	constructor(routes: Iterable<Route>) {
 		for (const route of routes) {
@@ -34,7 +34,7 @@
 	@param host - Value of the field `Host`; a port in it counts for nothing.
 	@param target - The request target, a path with or without a query.
 	*/
-	find(host: string, target: string): Route | undefined {
+	routeOf(host: string, target: string): Route | undefined {
 		const prefixes = this.#hosts.get(host) ?? this.#hosts.get(hostName(host));
 		if (prefixes === undefined) {
 			return undefined;
--- a/packages/node/src/_lib/remote-gate/index.ts
+++ b/packages/node/src/_lib/remote-gate/index.ts
@@ -3,26 +3,25 @@
 breaks before an answer, the gate is asked what became of the request.
 */
 
-import type {
-	Clock, Problem, Target,
-} from '@fireflyglade/model';
+import type {Problem, Target} from '@fireflyglade/model';
 import {
 	BodyTooLargeError, HttpSender,
-	type AnswerFlow, type AnswerHead, type AnswerReceiver, type FleetCredentials, type HeaderFields, type MutualTlsCredentials, type RequestProgress, type RunningSend, type SendFailure,
+	type AnswerFlow, type AnswerHead, type AnswerReceiver, type FleetCredentials, type HeaderFields, type MutualTlsCredentials, type RunningSend, type SendFailure,
 } from '@fireflyglade/transport';
-import type {OutcomeAsker} from '../../dependencies.js';
+import {
+	inquire, retriesGiven, unreachableGate, type GateInquiryOptions,
+} from '../gate-inquiry/index.js';
+import {formatGateCall} from '../gate-call/index.js';
 import type {
 	CallReceiver, CallRunner, GateCall, GateNote, RunningCall,
 } from '../call-types.js';
 import {
-	arrivedField, callField, fleetTokenField, formatPeerCall, parseLevel, parseNumberField, parseProblemCode, queuedField, retriesLeftField, retryAfterField, wholeField,
+	arrivedField, callField, fleetTokenField, parseLevel, parseNumberField, parseProblemCode, queuedField, retriesLeftField, retryAfterField, wholeField,
 } from '../peer-fields/index.js';
 
 /** What the calls to other gates need. */
-export type RemoteGatesOptions = {
+export type RemoteGatesOptions = GateInquiryOptions & {
 	readonly credentials: FleetCredentials;
-	readonly outcomes: OutcomeAsker;
-	readonly clock: Clock;
 };
 
 const keepAliveMilliseconds = 60_000;
@@ -114,7 +113,7 @@
 				context.traceparent,
 				...credentialFields(this.#options.credentials),
 				callField,
-				this.#formatCall(),
+				formatGateCall(this.#call, this.#options.clock.now()),
 			],
 			body,
 			bodyLength,
@@ -180,7 +179,7 @@
 		}
 
 		if (!failure.begun) {
-			this.#receiver.onProblem(unreachableGate, {retriesLeft: this.#retriesGiven()});
+			this.#receiver.onProblem(unreachableGate, {retriesLeft: retriesGiven(this.#call)});
 			return;
 		}
 
@@ -189,51 +188,9 @@
 			return;
 		}
 
-		void this.#askOutcome();
-	}
-
-	async #askOutcome(): Promise<void> {
-		const progress = await this.#askProgress();
-		if (this.#cancelled) {
-			return;
-		}
-
-		if (progress === 'not-run') {
-			this.#receiver.onProblem(unreachableGate, {retriesLeft: this.#retriesGiven()});
-			return;
-		}
-
-		this.#receiver.onProblem({code: 'outcome-unknown', outcome: 'unknown', detail: 'the connection to the gate broke and the request may have run'}, {retriesLeft: 0});
-	}
-
-	async #askProgress(): Promise<RequestProgress> {
-		const {outcomes, clock} = this.#options;
-		const sentMillisecondsAgo = clock.now() - this.#startedAt;
-		try {
-			const answer = await outcomes.ask(this.#target.rpcAddress, {requestId: this.#call.context.requestId, sentMillisecondsAgo});
-			return answer.progress;
-		} catch {
-			return 'unknown';
-		}
-	}
-
-	#retriesGiven(): number {
-		return Math.max(0, this.#call.context.remainingAttempts - 1);
-	}
-
-	#formatCall(): string {
-		const {context, idempotent, job} = this.#call;
-		return formatPeerCall({
-			requestId: context.requestId,
-			rootId: context.rootId,
-			...(context.team === undefined ? {} : {team: context.team}),
-			priority: context.priority,
-			timeoutMilliseconds: context.deadline - this.#options.clock.now(),
-			remainingAttempts: context.remainingAttempts,
-			depth: context.depth,
-			idempotent,
-			...(job === undefined ? {} : {job}),
-		});
+		void inquire({
+			target: this.#target, call: this.#call, sentAt: this.#startedAt, receiver: this.#receiver, isCancelled: () => this.#cancelled,
+		}, this.#options);
 	}
 }
 
@@ -245,8 +202,6 @@
 	return credentials.kind === 'token' ? [fleetTokenField, credentials.token] : [];
 }
 
-const unreachableGate: Problem = {code: 'no-upstream', outcome: 'not-run', detail: 'the gate could not be reached'};
-
 function readProblem(head: AnswerHead, body: Uint8Array): Problem {
 	const code = parseProblemCode(head.headers)!;
 	const outcome = head.headers['fireflyglade-outcome'] === 'not-run' ? 'not-run' : 'unknown';
--- a/packages/node/src/announce-listener/index.ts
+++ b/packages/node/src/announce-listener/index.ts
@@ -48,11 +48,6 @@
 		this.#silence?.cancel();
 	}
 
-	async #announce(event: H3Event): Promise<{readonly accepted: true}> {
-		this.take(await readAnnouncement(event));
-		return {accepted: true};
-	}
-
 	/** Takes an announcement over. */
 	take(announced: AnnouncedUpstream): void {
 		this.#silence?.cancel();
@@ -68,6 +63,11 @@
 		this.#handlers.left();
 	}
 
+	async #announce(event: H3Event): Promise<{readonly accepted: true}> {
+		this.take(await readAnnouncement(event));
+		return {accepted: true};
+	}
+
 	#leave(): {readonly accepted: true} {
 		this.leave();
 		return {accepted: true};
--- /dev/null
+++ b/packages/node/src/channel-listener/index.ts
@@ -0,0 +1,189 @@
+/**
+Serves the calls of other nodes to the gate over connections that carry many
+calls at once.
+*/
+
+import {InvalidInputError, type Clock, type Problem} from '@fireflyglade/model';
+import {
+	FrameConnectionError, FrameListener, selectRequestFields,
+	type AnswerFlow, type AnswerHead, type FrameConnection, type FrameConnectionHandlers, type HeaderFields,
+} from '@fireflyglade/transport';
+import type {Gate} from '../gate/index.js';
+import type {
+	CallReceiver, GateNote, RunningCall,
+} from '../_lib/call-types.js';
+import {contextOf} from '../_lib/gate-call/index.js';
+import {parsePeerCall, SecretCheck} from '../_lib/peer-fields/index.js';
+import {peerMessageKinds as kinds} from '../_lib/peer-messages/index.js';
+
+/** What the listener is given. */
+export type ChannelListenerOptions = {
+	readonly gate: Gate;
+	/** The fleet's secret. */
+	readonly token: string;
+	readonly clock: Clock;
+};
+
+/** Makes the listener for other nodes' calls. */
+export function createChannelListener(options: ChannelListenerOptions): FrameListener {
+	const check = new SecretCheck(options.token);
+	return new FrameListener(connection => new PeerConnection(connection, options, check), options);
+}
+
+/** The calls on one connection. */
+class PeerConnection implements FrameConnectionHandlers {
+	readonly #connection: () => FrameConnection;
+	readonly #options: ChannelListenerOptions;
+	readonly #check: SecretCheck;
+	readonly #calls = new Map<number, PeerCallAnswer>();
+	#isLetIn = false;
+
+	constructor(connection: () => FrameConnection, options: ChannelListenerOptions, check: SecretCheck) {
+		this.#connection = connection;
+		this.#options = options;
+		this.#check = check;
+	}
+
+	onMessage(message: readonly unknown[]): void {
+		try {
+			this.#take(message);
+		} catch (error) {
+			if (!(error instanceof InvalidInputError)) {
+				throw error;
+			}
+
+			this.#connection().destroy(error);
+		}
+	}
+
+	onDrain(): void {
+		for (const call of this.#calls.values()) {
+			call.resumeAfterDrain();
+		}
+	}
+
+	/** The entry node has gone; it asks by RPC what became of its calls. */
+	onClosed(): void {
+		const calls = [...this.#calls.values()];
+		this.#calls.clear();
+		for (const call of calls) {
+			call.running?.cancel();
+		}
+	}
+
+	#take(message: readonly unknown[]): void {
+		const [kind, value] = message;
+		if (!this.#isLetIn) {
+			this.#letIn(kind === kinds.hello && typeof value === 'string' && this.#check.matches(value));
+			return;
+		}
+
+		const number = value as number;
+		switch (kind) {
+			case kinds.request: {
+				this.#run(number, message);
+				return;
+			}
+
+			case kinds.cancel: {
+				const call = this.#calls.get(number);
+				this.#calls.delete(number);
+				call?.running?.cancel();
+				return;
+			}
+
+			case kinds.pause: {
+				this.#calls.get(number)?.flow?.pause();
+				return;
+			}
+
+			case kinds.resume: {
+				this.#calls.get(number)?.flow?.resume();
+				return;
+			}
+
+			default: {
+				this.#connection().destroy(new FrameConnectionError(`a message of kind ${String(kind)} is not known`));
+			}
+		}
+	}
+
+	#letIn(isAllowed: boolean): void {
+		this.#isLetIn = isAllowed;
+		if (!isAllowed) {
+			this.#connection().destroy(new FrameConnectionError('only nodes of the fleet may call a gate'));
+		}
+	}
+
+	#run(number: number, message: readonly unknown[]): void {
+		const [text, traceparent, method, path, headers, body] = message.slice(2) as [string, string, string, string, readonly string[], Uint8Array | undefined];
+		const answer = new PeerCallAnswer(number, this.#connection(), () => {
+			this.#calls.delete(number);
+		});
+		this.#calls.set(number, answer);
+		const call = parsePeerCall(text);
+		const {idempotent, job} = call;
+		const running = this.#options.gate.run({
+			context: contextOf(call, traceparent, this.#options.clock.now()),
+			idempotent,
+			...(job === undefined ? {} : {job}),
+			method,
+			path,
+			headers: selectRequestFields(headers),
+			body: body ?? undefined,
+			bodyLength: body?.length,
+		}, answer);
+		answer.running = running;
+	}
+}
+
+/** Passes one answer on to the entry node. */
+class PeerCallAnswer implements CallReceiver {
+	running: RunningCall | undefined;
+	flow: AnswerFlow | undefined;
+	readonly #number: number;
+	readonly #connection: FrameConnection;
+	readonly #ended: () => void;
+	#isHeldBack = false;
+
+	constructor(number: number, connection: FrameConnection, ended: () => void) {
+		this.#number = number;
+		this.#connection = connection;
+		this.#ended = ended;
+	}
+
+	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
+		this.flow = flow;
+		this.#connection.send([kinds.head, this.#number, head.status, head.headers, note]);
+	}
+
+	onData(chunk: Uint8Array): void {
+		if (!this.#connection.send([kinds.data, this.#number, chunk])) {
+			this.#isHeldBack = true;
+			this.flow?.pause();
+		}
+	}
+
+	onEnd(trailers: HeaderFields): void {
+		this.#connection.send([kinds.end, this.#number, trailers]);
+		this.#ended();
+	}
+
+	onProblem({code, outcome, detail, retryAfterMilliseconds}: Problem, note: GateNote): void {
+		this.#connection.send([kinds.problem, this.#number, code, outcome, detail, retryAfterMilliseconds ?? null, note]);
+		this.#ended();
+	}
+
+	onBroken(): void {
+		this.#connection.send([kinds.broken, this.#number]);
+		this.#ended();
+	}
+
+	/** The connection has room again. */
+	resumeAfterDrain(): void {
+		if (this.#isHeldBack) {
+			this.#isHeldBack = false;
+			this.flow?.resume();
+		}
+	}
+}
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -10,10 +10,11 @@
 import {EntryThrottle} from '@fireflyglade/routing';
 import {
 	HttpListener,
-	type OutcomeAnswer, type OutcomeQuestion,
+	type FrameListener, type OutcomeAnswer, type OutcomeQuestion,
 } from '@fireflyglade/transport';
 import {AnnounceListener} from '../announce-listener/index.js';
 import type {NodeDependencies} from '../dependencies.js';
+import {createChannelListener} from '../channel-listener/index.js';
 import {GateListenerHandler} from '../gate-listener/index.js';
 import {Gate} from '../gate/index.js';
 import {createStatusListener} from '../status-listener/index.js';
@@ -21,6 +22,7 @@
 import {CallServer} from '../_lib/call-server/index.js';
 import {CallerPolicy} from '../_lib/caller-policy/index.js';
 import {EgressPolicy} from '../_lib/egress-policy/index.js';
+import {ChannelGates} from '../_lib/channel-gates/index.js';
 import {RemoteGates} from '../_lib/remote-gate/index.js';
 import {TeamCounters} from '../_lib/team-counters/index.js';
 import {UpstreamStatements, type StatementVerdict, type UpstreamStatement} from '../_lib/upstream-statements/index.js';
@@ -74,6 +76,9 @@
 	readonly #dependencies: NodeDependencies;
 	readonly #gate: Gate;
 	readonly #remoteGates: RemoteGates;
+	readonly #channelGates: ChannelGates | undefined;
+	readonly #channelListener: FrameListener | undefined;
+	#channelAddress: string | undefined;
 	readonly #statements = new UpstreamStatements();
 	readonly #counters = new TeamCounters();
 	readonly #callers: CallServer;
@@ -97,12 +102,19 @@
 			},
 		});
 		this.#remoteGates = new RemoteGates(dependencies);
+		const {channelAddress} = dependencies;
+		if (channelAddress !== undefined && credentials.kind === 'token') {
+			const {token} = credentials;
+			this.#channelGates = new ChannelGates({...dependencies, token, fallback: target => this.#remoteGates.to(target)});
+			this.#channelListener = createChannelListener({gate: this.#gate, token, clock});
+		}
+
 		const attempts: CallAttemptsOptions = {
 			...dependencies,
 			node: settings.node,
 			ownGate: this.#gate,
 			throttle: new EntryThrottle(),
-			remoteGate: target => this.#remoteGates.to(target),
+			remoteGate: target => (this.#channelGates ?? this.#remoteGates).to(target),
 		};
 		const shared = {dependencies, attempts, counters: this.#counters};
 		this.#callers = new CallServer({...shared, policy: new CallerPolicy(dependencies.fleet, dependencies.callInterface)});
@@ -146,7 +158,12 @@
 	}
 
 	async start(): Promise<void> {
-		const {settings, fleet} = this.#dependencies;
+		const {settings, fleet, channelAddress, onChannelListening} = this.#dependencies;
+		this.#channelAddress = channelAddress === undefined ? undefined : await this.#channelListener?.listen(channelAddress);
+		if (this.#channelAddress !== undefined) {
+			onChannelListening?.(this.#channelAddress);
+		}
+
 		this.#addresses = {
 			gate: await this.#listeners.gate.listen(settings.gateAddress),
 			egress: await this.#listeners.egress.listen(settings.egressAddress),
@@ -201,7 +218,7 @@
 	}
 
 	inFlight(): number {
-		return this.#listeners.callers.running + this.#listeners.gate.running + this.#listeners.egress.running;
+		return this.#listeners.callers.running + this.#listeners.egress.running + Math.max(this.#listeners.gate.running, this.#gate.size);
 	}
 
 	async stop(): Promise<void> {
@@ -215,6 +232,7 @@
 		const targets = fleet.targets();
 		routing.setTargets(targets, clock.now());
 		this.#remoteGates.retain(targets);
+		this.#channelGates?.retain(targets);
 		if (configuration !== this.#configuration) {
 			this.#configuration = configuration;
 			this.#takeConfiguration(configuration);
@@ -247,6 +265,7 @@
 			node: settings.node,
 			domain: settings.domain,
 			gateUrl: this.gateUrl,
+			...(this.#channelAddress === undefined ? {} : {channelAddress: this.#channelAddress}),
 			rpcAddress,
 			available: this.#stopping === undefined,
 			slots: upstream.announced.slots,
@@ -283,6 +302,8 @@
 		const {callers, ...others} = this.#listeners;
 		await callers.close(announcementIntervalMilliseconds, idleMilliseconds);
 		await Promise.all(Object.values(others).map(async listener => listener.close(announcementIntervalMilliseconds)));
+		this.#channelGates?.close();
+		this.#channelListener?.close();
 		await Promise.all([this.#gate.close(), this.#remoteGates.close()]);
 	}
 
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -92,6 +92,10 @@
 	readonly retryBudgets: RetryBudgets;
 	/** The interface to callers and upstream; the product's own if absent. */
 	readonly callInterface?: CallInterface;
+	/** Address of the listener for connections that carry many calls of other nodes; such calls go by HTTP if absent. */
+	readonly channelAddress?: string;
+	/** Told the bound address of that listener. */
+	readonly onChannelListening?: (address: string) => void;
 	/** Address of the only upstream that may announce itself; any if absent. */
 	readonly ownUpstreamAddress?: string;
 	/** Milliseconds of silence after which the upstream counts as gone; three seconds if absent. */
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -262,6 +262,12 @@
 		this.#figuresSource = source;
 	}
 
+	/** Takes over the addresses of control processes from changed settings. */
+	setControl(addresses: readonly string[]): void {
+		this.#configuredControl = addresses;
+		this.#control = [...new Set([...addresses, ...this.#control])];
+	}
+
 	/** The confirmation that an answer brings counts from now, before the report is sent. */
 	#beginReport(): (answer: ReportAnswer) => void {
 		const {freshness, discovers} = this.#options;
@@ -278,12 +284,6 @@
 		};
 	}
 
-	/** Takes over the addresses of control processes from changed settings. */
-	setControl(addresses: readonly string[]): void {
-		this.#configuredControl = addresses;
-		this.#control = [...new Set([...addresses, ...this.#control])];
-	}
-
 	/** The addresses of the settings stay, as those of the answer may be gone one day. */
 	#takeControl(addresses: readonly string[]): void {
 		if (addresses.length > 0) {
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -16,6 +16,7 @@
 import type {
 	CallReceiver, GateCall, GateNote,
 } from '../_lib/call-types.js';
+import {contextOf} from '../_lib/gate-call/index.js';
 import {
 	arrivedField, callField, fleetTokenField, formatLevel, levelField, parsePeerCall, problemField, queuedField, retriesLeftField, retryAfterField, SecretCheck, wholeField,
 	type PeerCall,
@@ -95,18 +96,9 @@
 	}
 
 	#gateCall(call: PeerCall, request: IncomingMessage, content: {readonly body: OutgoingBody; readonly length: number | undefined}): GateCall {
-		const {requestId, rootId, team, priority, remainingAttempts, depth, idempotent, job, timeoutMilliseconds} = call;
+		const {idempotent, job} = call;
 		return {
-			context: {
-				requestId,
-				rootId,
-				...(team === undefined ? {} : {team}),
-				priority,
-				deadline: this.#clock.now() + timeoutMilliseconds,
-				remainingAttempts,
-				depth,
-				traceparent: String(request.headers.traceparent ?? ''),
-			},
+			context: contextOf(call, String(request.headers.traceparent ?? ''), this.#clock.now()),
 			idempotent,
 			...(job === undefined ? {} : {job}),
 			method: request.method!,
--- a/packages/node/src/test-support/index.ts
+++ b/packages/node/src/test-support/index.ts
@@ -79,6 +79,8 @@
 	readonly targets = new Map<string, Target>();
 	/** Gates that are reached by another URL than their own. */
 	readonly gateUrls = new Map<string, string>();
+	/** Listeners for shared connections that are reached by another address than their own. */
+	readonly channelAddresses = new Map<string, string>();
 	readonly withdrawn = new Set<KeyId>();
 	readonly refunded: RequestId[] = [];
 	readonly settled: RequestId[] = [];
@@ -124,7 +126,8 @@
 				if (target === undefined) {
 					this.targets.delete(node);
 				} else {
-					this.targets.set(node, {...target, gateUrl: this.gateUrls.get(node) ?? target.gateUrl});
+					const channelAddress = this.channelAddresses.get(node) ?? target.channelAddress;
+					this.targets.set(node, {...target, gateUrl: this.gateUrls.get(node) ?? target.gateUrl, ...(channelAddress === undefined ? {} : {channelAddress})});
 				}
 
 				this.notify();
--- a/packages/observability/src/decision-log/test.ts
+++ b/packages/observability/src/decision-log/test.ts
@@ -32,11 +32,13 @@
 	it('bounds each kind by itself and does not describe what it leaves out', () => {
 		const {lines, log} = createLog();
 		let described = 0;
+		const describeOne = (): Fields => {
+			described++;
+			return {};
+		};
+
 		for (let count = 0; count < 50; count++) {
-			log.note('refused', () => {
-				described++;
-				return {};
-			});
+			log.note('refused', describeOne);
 		}
 
 		log.note('cut', () => ({}));
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,6 +2,8 @@
 RPC between processes and HTTP plumbing.
 */
 
+export * from './frame-connection/index.js';
+export * from './frame-listener/index.js';
 export * from './http-answer/index.js';
 export * from './http-body/index.js';
 export * from './http-fields/index.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -27,6 +27,20 @@
 			'n/no-extraneous-import': 'off',
 		},
 	},
+	{
+		files: ['platform/src/**/test.ts', 'platform/src/**/test-support/**'],
+		rules: {
+			// The platform's own names of fields.
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
+	{
+		files: ['platform/src/_lib/run-daemon/index.ts', 'platform/src/start-platform-control/index.ts'],
+		rules: {
+			// A daemon ends itself.
+			'unicorn/no-process-exit': 'off',
+		},
+	},
 	{
 		files: ['**/*-parser/index.ts'],
 		rules: {
