--- a/packages/node/src/_lib/channel-gates/test.ts
+++ b/packages/node/src/_lib/channel-gates/test.ts
@@ -111,9 +111,11 @@
 		link = new FailingLink(() => own);
 		fleet.shared.channelAddresses.set('gate', await link.listen());
 		entry = await fleet.startNode('entry', {channelAddress});
-		gate = await fleet.startNode('gate', {channelAddress, onChannelListening(address) {
-			own = address;
-		}});
+		gate = await fleet.startNode('gate', {
+			channelAddress, onChannelListening(address) {
+				own = address;
+			},
+		});
 		upstream = await fleet.startUpstream(gate);
 		gateTarget = () => fleet.shared.targets.get('gate')!;
 	});
@@ -166,7 +168,7 @@
 		});
 		await waitUntil(() => runsOf('left') === 1);
 		controller.abort();
-		await pending.catch(() => undefined);
+		await Promise.allSettled([pending]);
 		await waitUntil(() => upstream.received.find(received => received.headers['x-job'] === 'left')!.isCancelled);
 	});
 
