Send idempotent calls to another upstream after an answer 500

The answers of a node are now also tested over shared connections, and the binding of listeners stands once.

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -73,7 +73,8 @@
 
 const retryableUnsent: ReadonlySet<ProblemCode> = new Set(['overloaded', 'queue-timeout', 'draining', 'no-upstream']);
 const retryableFailures: ReadonlySet<ProblemCode> = new Set(['upstream-failed', 'outcome-unknown']);
-const upstreamOverloadedStatus = 503;
+/** Answers of an upstream after which an idempotent call may go to another one. */
+const retryableStatuses: ReadonlySet<number> = new Set([500, 503]);
 
 /** Carries one call to its answer. */
 export class CallAttempts implements RunningCall, CallReceiver {
@@ -164,7 +165,7 @@
 		this.#level = note.level;
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
 		this.#remaining = lowerAttempts(this.#split, {kind: 'ran', unspent: note.retriesLeft});
-		if (head.status === upstreamOverloadedStatus && this.#call.route.idempotent && this.#takeRetry()) {
+		if (retryableStatuses.has(head.status) && this.#call.route.idempotent && this.#takeRetry()) {
 			this.#isDiscarding = true;
 			this.#mayHaveRun = true;
 			return;
--- a/packages/node/src/create-node/test.ts
+++ b/packages/node/src/create-node/test.ts
@@ -34,8 +34,14 @@
 	return text;
 }
 
-for (const hops of [1, 2] as const) {
-	describe(`createNode, calls over ${hops} node(s)`, () => {
+const shared = {channelAddress: '127.0.0.1:0'};
+
+for (const {name, hops, change} of [
+	{name: '1 node(s)', hops: 1, change: {}},
+	{name: '2 node(s)', hops: 2, change: {}},
+	{name: '2 nodes that share a connection', hops: 2, change: shared},
+] as const) {
+	describe(`createNode, calls over ${name}`, () => {
 		let fleet: TestFleet;
 		let entry: RunningNode;
 		let upstream: RecordingUpstream;
@@ -46,8 +52,8 @@
 				createRoute('POST', '/orders', {retryLimit: 0}),
 				createRoute('GET', '/open', {open: true}),
 			]);
-			entry = await fleet.startNode('a');
-			upstream = await fleet.startUpstream(hops === 1 ? entry : await fleet.startNode('b'));
+			entry = await fleet.startNode('a', change);
+			upstream = await fleet.startUpstream(hops === 1 ? entry : await fleet.startNode('b', change));
 		});
 
 		beforeEach(() => {
@@ -249,6 +255,27 @@
 		await fleet.stop();
 	});
 
+	it('sends an idempotent call to another upstream when the first fails it, and no other call', async () => {
+		const node = await fleet.startNode('a');
+		const failing = await fleet.startUpstream(node);
+		const sound = await fleet.startUpstream(await fleet.startNode('b'));
+		failing.handler = (message, response) => {
+			message.resume();
+			response.writeHead(500).end();
+		};
+
+		const statuses: number[] = [];
+		for (let count = 0; count < 10; count++) {
+			const answer = await request(`http://${node.addresses.callers}/orders/${count}`, {headers: {authorization}});
+			await answer.body.dump();
+			statuses.push(answer.statusCode);
+		}
+
+		expect(failing.received.length).to.be.greaterThan(0);
+		expect(statuses).to.deep.equal(statuses.map(() => 200));
+		expect(sound.received).to.have.length(10);
+	});
+
 	it('refuses strangers at the gate, whatever they show', async () => {
 		const node = await fleet.startNode('a');
 		const upstream = await fleet.startUpstream(node);
--- a/packages/transport/src/frame-connection/index.ts
+++ b/packages/transport/src/frame-connection/index.ts
@@ -10,7 +10,7 @@
 import {connect, type Socket} from 'node:net';
 import {FireflygladeError, type Clock, type Timer} from '@fireflyglade/model';
 import {Packr} from 'msgpackr';
-import {parseAddress} from '../http-listener/index.js';
+import {parseAddress} from '../parse-address/index.js';
 
 /** The other side broke the rules of the connection, or fell silent. */
 export class FrameConnectionError extends FireflygladeError {
--- a/packages/transport/src/frame-listener/index.ts
+++ b/packages/transport/src/frame-listener/index.ts
@@ -2,9 +2,9 @@
 Listens for connections that carry many small messages.
 */
 
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import {createServer, type Server} from 'node:net';
+import {listenOn} from '../_lib/listen-on.js';
 import {FrameConnection, type FrameConnectionHandlers, type FrameConnectionOptions} from '../frame-connection/index.js';
-import {parseAddress} from '../http-listener/index.js';
 
 /** Gives the handlers of a new connection. */
 export type AcceptConnection = (connection: () => FrameConnection) => FrameConnectionHandlers;
@@ -35,15 +35,7 @@
 
 	/** Listens on `host:port`, port 0 for any, and returns `host:port`. */
 	async listen(address: string): Promise<string> {
-		const {host, port} = parseAddress(address);
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port, backlog: 1024}, () => {
-				this.#server.off('error', reject);
-				resolve();
-			});
-		});
-		return `${host}:${(this.#server.address() as AddressInfo).port}`;
+		return listenOn(this.#server, address);
 	}
 
 	/** Takes no new connections and ends those that are open. */
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -7,10 +7,11 @@
 	createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
-import {Server as TcpServer, type AddressInfo, type Socket} from 'node:net';
+import {Server as TcpServer, type Socket} from 'node:net';
 import {
-	formatProblem, InvalidInputError, problemStatus, type Problem, type ProblemCode,
+	formatProblem, problemStatus, type Problem, type ProblemCode,
 } from '@fireflyglade/model';
+import {listenOn} from '../_lib/listen-on.js';
 import {problemFields, writeProblem} from '../http-answer/index.js';
 import type {MutualTlsCredentials} from '../http-types/index.js';
 
@@ -70,16 +71,7 @@
 
 	/** Listens on `host:port`, port 0 for any, and returns `host:port`. */
 	async listen(address: string): Promise<string> {
-		const {host, port} = parseAddress(address);
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port, backlog: 1024}, () => {
-				this.#server.off('error', reject);
-				resolve();
-			});
-		});
-		const bound = this.#server.address() as AddressInfo;
-		return `${host}:${bound.port}`;
+		return listenOn(this.#server, address);
 	}
 
 	/** From now on each answer ends its connection, so that callers move elsewhere. */
@@ -150,21 +142,6 @@
 	}
 }
 
-/**
-Splits `host:port`.
-
-@throws {InvalidInputError} The value is not an address.
-*/
-export function parseAddress(address: string): {readonly host: string; readonly port: number} {
-	const separator = address.lastIndexOf(':');
-	const port = Number(address.slice(separator + 1));
-	if (separator <= 0 || !Number.isInteger(port) || port < 0 || port > 65_535) {
-		throw new InvalidInputError(`${JSON.stringify(address)} is not an address of the form host:port`);
-	}
-
-	return {host: address.slice(0, separator), port};
-}
-
 function createSecureServer(options: ServerOptions, {authority, certificate, privateKey}: MutualTlsCredentials): Server {
 	return createTlsServer({
 		...options,
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -12,6 +12,7 @@
 export type * from './http-types/index.js';
 export * from './load-fleet-credentials/index.js';
 export * from './message-codec/index.js';
+export * from './parse-address/index.js';
 export * from './rpc-client/index.js';
 export * from './rpc-error/index.js';
 export * from './rpc-server/index.js';
