--- a/packages/node/src/_lib/channel-gates/index.ts
+++ b/packages/node/src/_lib/channel-gates/index.ts
@@ -116,7 +116,9 @@
 		const {clock} = this.#options;
 		this.#count++;
 		const number = this.#count;
-		const running = new ChannelCall({target, call, receiver, sentAt: clock.now()}, this.#flowOf(number));
+		const running = new ChannelCall({
+			target, call, receiver, sentAt: clock.now(),
+		}, this.#flowOf(number));
 		this.#calls.set(number, running);
 		const {method, path, headers, body, context} = call;
 		this.#connection.send([kinds.request, number, formatGateCall(call, clock.now()), context.traceparent, method, path, headers, body ?? null]);
