--- a/packages/admission/src/gate-admission/index.ts
+++ b/packages/admission/src/gate-admission/index.ts
@@ -57,6 +57,10 @@
 		this.#emptyAt = options.now;
 	}
 
+	get isAnyWaiting(): boolean {
+		return this.#room.size > 0;
+	}
+
 	offer(request: AdmissionRequest, now: number): readonly AdmissionDecision[] {
 		if (this.#draining) {
 			return [this.#refuse(request.requestId, 'draining', now)];
--- a/packages/admission/src/test-support/variants/index.ts
+++ b/packages/admission/src/test-support/variants/index.ts
@@ -86,6 +86,10 @@
 		this.#slots = slots;
 	}
 
+	get isAnyWaiting(): boolean {
+		return this.#queue.size > 0;
+	}
+
 	offer(request: AdmissionRequest, now: number): readonly AdmissionDecision[] {
 		this.#queue.set(request.requestId, now);
 		const decisions = this.#start(now);
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -11,7 +11,7 @@
 	readonly requestId: RequestId;
 	readonly rootId: RequestId;
 	/** Absent on a route open to all; such requests share one place in the fairness between teams. */
-	readonly team?: TeamName;
+	readonly team?: TeamName | undefined;
 	/** From 0, the most important, to 9. */
 	readonly priority: number;
 	/** Monotonic milliseconds. */
@@ -34,6 +34,8 @@
 
 /** The admission of one gate. One call may start or refuse other requests too: each decision names its request. */
 export type Admission = {
+	/** True while a request waits, so that `tick` has something to do. */
+	readonly isAnyWaiting: boolean;
 	/** Offers a request; the decisions may also concern requests that waited. */
 	offer(request: AdmissionRequest, now: number): readonly AdmissionDecision[];
 	/** Reports the end of a request that ran, with the milliseconds that its calls waited at gates below; the decisions concern requests that waited. */
--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -35,6 +35,8 @@
 export type ControlProcessOptions = {
 	readonly member: MemberId;
 	readonly dataFolder: string;
+	/** True where the machine runs one such process alone; the folder is not locked then. */
+	readonly isAlone?: boolean;
 	readonly operatorAddress: string;
 	readonly rpcAddress: string;
 	/** RPC address of each member, this one among them. */
@@ -85,7 +87,7 @@
 	static async #open(options: ControlProcessOptions): Promise<ControlProcess> {
 		const clock = options.clock ?? new SystemClock();
 		const client = new GrpcRpcClient(options.credentials);
-		const storage = await openLogStorage(options.dataFolder);
+		const storage = await openLogStorage(options.dataFolder, {isAlone: options.isAlone ?? false});
 		const stored = await loadStoredState(storage);
 		const consensus = new RaftConsensus({
 			member: options.member,
--- a/packages/model/src/call-context/index.ts
+++ b/packages/model/src/call-context/index.ts
@@ -11,7 +11,7 @@
 	/** The request of a caller from which the chain began. */
 	readonly rootId: RequestId;
 	/** Absent on a route open to all. */
-	readonly team?: TeamName;
+	readonly team?: TeamName | undefined;
 	/** From 0, the most important, to 9. */
 	readonly priority: number;
 	/** Monotonic milliseconds of this process's clock. */
--- a/packages/model/src/clock/index.ts
+++ b/packages/model/src/clock/index.ts
@@ -32,12 +32,29 @@
 	}
 
 	startTimer(delay: number, action: () => void): Timer {
-		const handle = setTimeout(action, delay);
-		return {
-			cancel() {
-				clearTimeout(handle);
-			},
-		};
+		return new SystemTimer(setTimeout(action, roundDelay(delay)));
+	}
+}
+
+/** Milliseconds from which a timer need not be exact. */
+const longDelayMilliseconds = 200;
+/** Steps of the delays of long timers, in milliseconds. */
+const longDelayStep = 20;
+
+/** Long timers share few lengths, since Node.js keeps a list for each length that is in use. */
+function roundDelay(delay: number): number {
+	return delay < longDelayMilliseconds ? delay : Math.ceil(delay / longDelayStep) * longDelayStep;
+}
+
+class SystemTimer implements Timer {
+	readonly #handle: NodeJS.Timeout;
+
+	constructor(handle: NodeJS.Timeout) {
+		this.#handle = handle;
+	}
+
+	cancel(): void {
+		clearTimeout(this.#handle);
 	}
 }
 
--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -32,7 +32,7 @@
 export type EntryCall = {
 	readonly requestId: RequestId;
 	readonly rootId: RequestId;
-	readonly team?: TeamName;
+	readonly team?: TeamName | undefined;
 	readonly route: Route;
 	/** The service of the route that this call goes to. */
 	readonly service: ServiceName;
@@ -43,7 +43,7 @@
 	readonly maximumAttempts: number;
 	readonly depth: number;
 	readonly traceparent: string;
-	readonly job?: JobClaimFields;
+	readonly job?: JobClaimFields | undefined;
 	readonly method: string;
 	readonly path: string;
 	readonly headers: readonly string[];
@@ -231,7 +231,7 @@
 
 	#throttleKey(): ThrottleKey {
 		const {team, priority, service} = this.#call;
-		return {service, ...(team === undefined ? {} : {team}), priority};
+		return {service, team, priority};
 	}
 
 	#attempt(): void {
@@ -295,7 +295,7 @@
 			context: {
 				requestId: attemptId(call.requestId, this.#attempts),
 				rootId: call.rootId,
-				...(call.team === undefined ? {} : {team: call.team}),
+				team: call.team,
 				priority: call.priority,
 				deadline: call.deadline,
 				remainingAttempts: this.#split.passed,
@@ -303,7 +303,7 @@
 				traceparent: this.#options.callInterface?.isTraced === false ? call.traceparent : createTraceparent(call.traceparent),
 			},
 			idempotent: call.route.idempotent,
-			...(call.job === undefined ? {} : {job: call.job}),
+			job: call.job,
 			method: call.method,
 			path: call.path,
 			headers: call.headers,
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -17,6 +17,7 @@
 } from '@fireflyglade/transport';
 import {productCallInterface, type CallInterface} from '../../call-interface/index.js';
 import type {FinishedRequest, NodeDependencies} from '../../dependencies.js';
+import type {ChargeOutcome} from '@fireflyglade/rates';
 import {CallAttempts, type CallAttemptsOptions, type EntryCall} from '../call-attempts/index.js';
 import {fingerprintJob, readCallFields} from '../call-fields/index.js';
 import type {CallPolicy, CallTerms} from '../call-policy.js';
@@ -65,6 +66,8 @@
 	readonly answer: FinalAnswer;
 };
 
+const uncharged: ChargeOutcome = {kind: 'admitted'};
+
 /** Capacity was lacking: the team's token is given back. */
 const capacityRefusals: ReadonlySet<ProblemCode> = new Set(['overloaded', 'queue-timeout', 'draining', 'no-upstream', 'cut-off', 'no-quorum', 'deadline-exceeded', 'no-configuration']);
 
@@ -165,7 +168,7 @@
 			return;
 		}
 
-		void this.#serve(this.#admit({
+		this.#serve(this.#admit({
 			request, response, route, terms,
 		}, fields.job));
 	}
@@ -188,15 +191,45 @@
 		return admitted;
 	}
 
-	async #serve(admitted: Admitted): Promise<void> {
+	/** Serves at once what has no body and needs no token from elsewhere, as most calls do. */
+	#serve(admitted: Admitted): void {
+		const outcome = this.#charge(admitted);
+		if (outcome instanceof Promise) {
+			void this.#serveOnce(admitted, outcome);
+			return;
+		}
+
+		this.#serveCharged(admitted, outcome);
+	}
+
+	async #serveOnce(admitted: Admitted, charged: Promise<ChargeOutcome>): Promise<void> {
 		try {
-			const refusal = await this.#charge(admitted);
-			if (refusal !== undefined) {
-				admitted.answer.onProblem(refusal);
-				return;
-			}
+			this.#serveCharged(admitted, await charged);
+		} catch (error) {
+			this.#fail(admitted, error as Error);
+		}
+	}
 
-			const body = await this.#takeBody(admitted);
+	#serveCharged(admitted: Admitted, outcome: ChargeOutcome): void {
+		if (outcome.kind === 'refused') {
+			admitted.answer.onProblem({
+				code: 'rate-exceeded', outcome: 'not-run', detail: 'the team is over its rate', retryAfterMilliseconds: outcome.retryAfterMilliseconds,
+			});
+			return;
+		}
+
+		const framing = readFraming(admitted.request);
+		if (framing.kind === 'none') {
+			this.#carry(admitted, emptyBody);
+			return;
+		}
+
+		void this.#serveBody(admitted, framing);
+	}
+
+	async #serveBody(admitted: Admitted, framing: BodyFraming): Promise<void> {
+		try {
+			const body = await this.#takeBody(admitted, framing);
 			if (body.kind === 'refused') {
 				admitted.answer.onProblem(body.problem);
 				return;
@@ -218,28 +251,15 @@
 		admitted.answer.onProblem({code: 'internal', outcome: 'not-run', detail: 'the node failed before the request was sent'});
 	}
 
-	async #charge(admitted: Admitted): Promise<Problem | undefined> {
-		const {terms, requestId} = admitted;
+	#charge({terms, requestId}: Admitted): ChargeOutcome | Promise<ChargeOutcome> {
 		if (!terms.isCharged || terms.team === undefined) {
-			return undefined;
+			return uncharged;
 		}
 
-		const outcome = await this.#options.dependencies.fleet.charge(terms.team, requestId);
-		if (outcome.kind === 'admitted') {
-			return undefined;
-		}
-
-		return {
-			code: 'rate-exceeded', outcome: 'not-run', detail: 'the team is over its rate', retryAfterMilliseconds: outcome.retryAfterMilliseconds,
-		};
+		return this.#options.dependencies.fleet.charge(terms.team, requestId);
 	}
 
-	async #takeBody(admitted: Admitted): Promise<TakenBody> {
-		const framing = readFraming(admitted.request);
-		if (framing.kind === 'none') {
-			return {kind: 'body', body: emptyBody};
-		}
-
+	async #takeBody(admitted: Admitted, framing: BodyFraming): Promise<TakenBody> {
 		if (admitted.job !== undefined && !(framing.kind === 'length' && framing.length <= maximumJobBodyBytes)) {
 			return {kind: 'refused', problem: {code: 'body-too-large', outcome: 'not-run', detail: `a request with an idempotency key needs a content-length of at most ${maximumJobBodyBytes} bytes`}};
 		}
@@ -289,7 +309,7 @@
 		return {
 			requestId,
 			rootId: terms.rootId ?? requestId,
-			...(team === undefined ? {} : {team}),
+			team,
 			route,
 			service: this.#shares.next(route),
 			priority: terms.priority,
@@ -297,7 +317,7 @@
 			maximumAttempts: terms.attempts,
 			depth: terms.depth,
 			traceparent,
-			...(job === undefined ? {} : {job: {job, fingerprint: fingerprintJob(method, path, body.open() as Uint8Array | undefined)}}),
+			job: job === undefined ? undefined : {job, fingerprint: fingerprintJob(method, path, body.open() as Uint8Array | undefined)},
 			method,
 			path,
 			headers: this.#fieldsToPassOn(request, secret),
--- a/packages/node/src/_lib/call-table/index.ts
+++ b/packages/node/src/_lib/call-table/index.ts
@@ -11,12 +11,14 @@
 
 /** A request that runs in the gate. */
 export class RunningRequest {
-	readonly token = createContextToken();
+	/** Empty where the upstream's calls are not matched. */
+	readonly token: string;
 	readonly #children = new Set<() => void>();
 	readonly #attempts: SharedAttempts;
 	#queuedMilliseconds = 0;
 
-	constructor(readonly context: CallContext) {
+	constructor(readonly context: CallContext, token: string) {
+		this.token = token;
 		this.#attempts = new SharedAttempts(context.remainingAttempts);
 	}
 
@@ -71,8 +73,13 @@
 	readonly #byToken = new Map<string, RunningRequest>();
 	readonly #byTrace = new Map<string, Set<RunningRequest>>();
 
-	add(context: CallContext): RunningRequest {
-		const running = new RunningRequest(context);
+	/** Adds a request; its token is not made where upstreams are never told it. */
+	add(context: CallContext, isMatched = true): RunningRequest {
+		const running = new RunningRequest(context, isMatched ? createContextToken() : '');
+		if (!isMatched) {
+			return running;
+		}
+
 		this.#byToken.set(running.token, running);
 		const traceId = readTraceId(context.traceparent);
 		if (traceId !== undefined) {
@@ -88,6 +95,10 @@
 	}
 
 	remove(running: RunningRequest): void {
+		if (running.token === '') {
+			return;
+		}
+
 		this.#byToken.delete(running.token);
 		const traceId = readTraceId(running.context.traceparent);
 		const sameTrace = traceId === undefined ? undefined : this.#byTrace.get(traceId);
--- a/packages/node/src/_lib/call-types.ts
+++ b/packages/node/src/_lib/call-types.ts
@@ -16,7 +16,7 @@
 	/** `requestId` names the attempt. */
 	readonly context: CallContext;
 	readonly idempotent: boolean;
-	readonly job?: JobClaimFields;
+	readonly job?: JobClaimFields | undefined;
 	readonly method: string;
 	/** Path with the query. */
 	readonly path: string;
@@ -29,13 +29,13 @@
 
 /** What rides back from a gate beside the answer. */
 export type GateNote = {
-	readonly level?: GateLevel;
+	readonly level?: GateLevel | undefined;
 	/** Retries of the call tree that were not used; none if the gate could not tell. */
 	readonly retriesLeft: number;
 	/** Milliseconds that the call and those below it waited at gates. */
-	readonly queuedMilliseconds?: number;
+	readonly queuedMilliseconds?: number | undefined;
 	/** True if the request came to the upstream, which refused it unrun. */
-	readonly hasArrived?: boolean;
+	readonly hasArrived?: boolean | undefined;
 };
 
 /** Takes the answer to a call. `onEnd`, `onProblem` or `onBroken` is called once, as the last of all. */
--- a/packages/node/src/_lib/channel-gates/index.ts
+++ b/packages/node/src/_lib/channel-gates/index.ts
@@ -7,21 +7,24 @@
 part of a write and of a read in place of an HTTP exchange.
 */
 
-import type {
-	Problem, ProblemCode, ProblemOutcome, Target,
+import {
+	InvalidInputError,
+	type Problem, type ProblemCode, type ProblemOutcome, type Target,
 } from '@fireflyglade/model';
 import {
 	FrameConnection,
 	type AnswerFlow, type HeaderFields,
 } from '@fireflyglade/transport';
 import type {
-	CallReceiver, CallRunner, GateCall, GateNote, RunningCall,
+	CallReceiver, CallRunner, GateCall, RunningCall,
 } from '../call-types.js';
-import {formatGateCall} from '../gate-call/index.js';
+import {describeGateCall} from '../gate-call/index.js';
 import {
 	inquire, retriesGiven, unreachableGate, type BrokenCall, type GateInquiryOptions,
 } from '../gate-inquiry/index.js';
-import {peerMessageKinds as kinds} from '../peer-messages/index.js';
+import {
+	FieldReader, FieldWriter, peerMessageKinds as kinds, readNote, writeCall, type WireFields,
+} from '../peer-messages/index.js';
 
 /** What the calls over shared connections need. */
 export type ChannelGatesOptions = GateInquiryOptions & {
@@ -89,6 +92,8 @@
 	readonly #options: ChannelGatesOptions;
 	readonly #connection: FrameConnection;
 	readonly #calls = new Map<number, ChannelCall>();
+	readonly #writer = new FieldWriter();
+	readonly #reader = new FieldReader();
 	#count = 0;
 
 	constructor(address: string, options: ChannelGatesOptions) {
@@ -118,10 +123,10 @@
 		const number = this.#count;
 		const running = new ChannelCall({
 			target, call, receiver, sentAt: clock.now(),
-		}, this.#flowOf(number));
+		}, this.#flowOf(number), this.#reader);
 		this.#calls.set(number, running);
 		const {method, path, headers, body, context} = call;
-		this.#connection.send([kinds.request, number, formatGateCall(call, clock.now()), context.traceparent, method, path, headers, body ?? null]);
+		this.#connection.send([kinds.request, number, writeCall(describeGateCall(call, clock.now())), context.traceparent, method, path, this.#writer.writeList(headers), body ?? null]);
 		this.#connection.watch(() => this.#calls.size > 0);
 		return {
 			cancel: () => {
@@ -151,8 +156,25 @@
 	#take(message: readonly unknown[]): void {
 		const number = message[1] as number;
 		const call = this.#calls.get(number);
-		if (call?.take(message)) {
-			this.#calls.delete(number);
+		try {
+			if (call === undefined) {
+				this.#passOver(message);
+			} else if (call.take(message)) {
+				this.#calls.delete(number);
+			}
+		} catch (error) {
+			if (!(error instanceof InvalidInputError)) {
+				throw error;
+			}
+
+			this.#connection.destroy(error);
+		}
+	}
+
+	/** The names of an answer that nobody waits for any more are remembered all the same. */
+	#passOver(message: readonly unknown[]): void {
+		if (message[0] === kinds.head) {
+			this.#reader.readFields(message[3] as WireFields);
 		}
 	}
 
@@ -168,15 +190,17 @@
 type SentCall = Omit<BrokenCall, 'isCancelled'>;
 
 /** One call on a connection. */
-class ChannelCall {
+class ChannelCall implements AnswerFlow {
 	isCancelled = false;
 	readonly #sent: SentCall;
 	readonly #receiver: CallReceiver;
 	readonly #flow: AnswerFlow;
+	readonly #reader: FieldReader;
 	#isAnswered = false;
 	#isPaused = false;
 
-	constructor(sent: SentCall, flow: AnswerFlow) {
+	constructor(sent: SentCall, flow: AnswerFlow, reader: FieldReader) {
+		this.#reader = reader;
 		this.#sent = sent;
 		this.#receiver = sent.receiver;
 		this.#flow = flow;
@@ -187,21 +211,7 @@
 		const [kind] = message;
 		switch (kind) {
 			case kinds.head: {
-				const [status, headers, note] = message.slice(2) as [number, HeaderFields, GateNote];
-				this.#isAnswered = true;
-				this.#receiver.onHead({status, headers}, {
-					pause: () => {
-						this.#isPaused = true;
-						this.#flow.pause();
-					},
-					resume: () => {
-						if (this.#isPaused) {
-							this.#isPaused = false;
-							this.#flow.resume();
-						}
-					},
-				}, note);
-				return false;
+				return this.#takeHead(message);
 			}
 
 			case kinds.data: {
@@ -215,11 +225,11 @@
 			}
 
 			case kinds.problem: {
-				const [code, outcome, detail, wait, note] = message.slice(2) as [ProblemCode, ProblemOutcome, string, number | undefined, GateNote];
+				const [code, outcome, detail, wait, note] = message.slice(2) as [ProblemCode, ProblemOutcome, string, number | undefined, unknown];
 				const problem: Problem = {
 					code, outcome, detail, ...(wait === null ? {} : {retryAfterMilliseconds: wait}),
 				};
-				this.#receiver.onProblem(problem, note);
+				this.#receiver.onProblem(problem, readNote(note));
 				return true;
 			}
 
@@ -234,6 +244,36 @@
 		}
 	}
 
+	/** Takes the head of an answer, with its first bytes and its end where they came along. */
+	#takeHead(message: readonly unknown[]): boolean {
+		const [status, fields, note, bytes, isWhole] = message.slice(2) as [number, WireFields, unknown, (Uint8Array | null)?, 1?];
+		const headers = this.#reader.readFields(fields);
+		this.#isAnswered = true;
+		this.#receiver.onHead({status, headers}, this, readNote(note));
+		if (bytes !== undefined && bytes !== null) {
+			this.#receiver.onData(bytes);
+		}
+
+		if (isWhole === 1) {
+			this.#receiver.onEnd({});
+			return true;
+		}
+
+		return false;
+	}
+
+	pause(): void {
+		this.#isPaused = true;
+		this.#flow.pause();
+	}
+
+	resume(): void {
+		if (this.#isPaused) {
+			this.#isPaused = false;
+			this.#flow.resume();
+		}
+	}
+
 	/** The connection was lost. */
 	lose(wasConnected: boolean, options: GateInquiryOptions): void {
 		if (this.#isAnswered) {
--- a/packages/node/src/_lib/gate-call/index.ts
+++ b/packages/node/src/_lib/gate-call/index.ts
@@ -6,19 +6,24 @@
 import type {GateCall} from '../call-types.js';
 import {formatPeerCall, type PeerCall} from '../peer-fields/index.js';
 
-/** Writes what a gate needs to know of a call, beside its HTTP request. */
-export function formatGateCall({context, idempotent, job}: GateCall, now: number): string {
-	return formatPeerCall({
+/** What a gate needs to know of a call, beside its HTTP request. */
+export function describeGateCall({context, idempotent, job}: GateCall, now: number): PeerCall {
+	return {
 		requestId: context.requestId,
 		rootId: context.rootId,
-		...(context.team === undefined ? {} : {team: context.team}),
+		team: context.team,
 		priority: context.priority,
-		timeoutMilliseconds: context.deadline - now,
+		timeoutMilliseconds: Math.max(1, Math.ceil(context.deadline - now)),
 		remainingAttempts: context.remainingAttempts,
 		depth: context.depth,
 		idempotent,
-		...(job === undefined ? {} : {job}),
-	});
+		job,
+	};
+}
+
+/** Writes what a gate needs to know of a call as one field. */
+export function formatGateCall(call: GateCall, now: number): string {
+	return formatPeerCall(describeGateCall(call, now));
 }
 
 /** The context of a call as the gate sees it. */
@@ -26,7 +31,7 @@
 	return {
 		requestId,
 		rootId,
-		...(team === undefined ? {} : {team}),
+		team,
 		priority,
 		deadline: now + timeoutMilliseconds,
 		remainingAttempts,
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -69,7 +69,7 @@
 		this.#stage = 'waiting';
 		this.#startedAt = this.#now();
 		this.#gate.apply(upstream.admission.offer({
-			requestId, rootId, ...(team === undefined ? {} : {team}), priority, deadline, depth,
+			requestId, rootId, team, priority, deadline, depth,
 		}, this.#startedAt));
 	}
 
@@ -315,7 +315,7 @@
 
 	#start(): void {
 		this.#stage = 'running';
-		this.#running = this.#gate.calls.add(this.call.context);
+		this.#running = this.#gate.calls.add(this.call.context, this.#gate.callInterface.contextField !== undefined);
 		this.#send = this.#upstream!.sender.send({
 			method: this.call.method,
 			path: this.call.path,
@@ -483,7 +483,7 @@
 		const waited = this.#startedAt === 0 ? 0 : (this.#admittedAt ?? now) - this.#startedAt;
 		const queuedMilliseconds = waited + (this.#running?.queuedMilliseconds ?? 0);
 		return {
-			...(level === undefined ? {} : {level}), ...(this.#isRefusedByUpstream ? {hasArrived: true} : {}), retriesLeft, queuedMilliseconds,
+			level, hasArrived: this.#isRefusedByUpstream, retriesLeft, queuedMilliseconds,
 		};
 	}
 
--- a/packages/node/src/_lib/peer-fields/index.ts
+++ b/packages/node/src/_lib/peer-fields/index.ts
@@ -46,13 +46,13 @@
 export type PeerCall = {
 	readonly requestId: RequestId;
 	readonly rootId: RequestId;
-	readonly team?: TeamName;
+	readonly team?: TeamName | undefined;
 	readonly priority: number;
 	readonly timeoutMilliseconds: number;
 	readonly remainingAttempts: number;
 	readonly depth: number;
 	readonly idempotent: boolean;
-	readonly job?: JobClaimFields;
+	readonly job?: JobClaimFields | undefined;
 };
 
 const partCount = 10;
@@ -89,13 +89,13 @@
 	return {
 		requestId: requestId as RequestId,
 		rootId: rootId as RequestId,
-		...(team === absent ? {} : {team: team as TeamName}),
+		team: team === absent ? undefined : team as TeamName,
 		priority: parseCount(priority, lowestPriority),
 		timeoutMilliseconds: parseCount(timeout, Number.MAX_SAFE_INTEGER),
 		remainingAttempts: parseCount(attempts, Number.MAX_SAFE_INTEGER),
 		depth: parseCount(depth, maximumCallDepth),
 		idempotent: idempotent === '1',
-		...(job === absent ? {} : {job: {job: parseJob(job), fingerprint}}),
+		job: job === absent ? undefined : {job: parseJob(job), fingerprint},
 	};
 }
 
--- a/packages/node/src/_lib/peer-messages/index.ts
+++ b/packages/node/src/_lib/peer-messages/index.ts
@@ -2,9 +2,15 @@
 The messages between an entry node and a gate on a connection that they share.
 
 Each message is a list that begins with its kind. Kinds 0 and 1 belong to the
-connection itself.
+connection itself. Names of header fields go over a connection once, and by a
+number from then on, since a connection carries the same few all its life.
 */
 
+import {InvalidInputError, type RequestId, type TeamName} from '@fireflyglade/model';
+import type {HeaderFields} from '@fireflyglade/transport';
+import type {GateNote} from '../call-types.js';
+import type {JobClaimFields, PeerCall} from '../peer-fields/index.js';
+
 /** Kinds of messages, and what follows the kind. */
 export const peerMessageKinds = {
 	/** From the entry node, first of all: the fleet's secret. */
@@ -17,7 +23,7 @@
 	pause: 5,
 	/** From the entry node: number. */
 	resume: 6,
-	/** From the gate: number, status, fields, note. */
+	/** From the gate: number, status, fields, note; then the first bytes, and 1 if the answer is whole with them. */
 	head: 7,
 	/** From the gate: number, bytes. */
 	data: 8,
@@ -28,3 +34,179 @@
 	/** From the gate: number. The answer broke off midway. */
 	broken: 11,
 } as const;
+
+/** Names that a connection remembers in one direction. */
+const rememberedNames = 256;
+
+/** Names and values in turn; a name is a number once both sides know it. */
+export type WireFields = ReadonlyArray<string | number | readonly string[]>;
+
+/** Writes header fields for one direction of a connection. */
+export class FieldWriter {
+	readonly #numbers = new Map<string, number>();
+
+	/** Writes names and values in turn. */
+	writeList(fields: readonly string[]): WireFields {
+		const written: Array<string | number> = [];
+		for (let index = 0; index + 1 < fields.length; index += 2) {
+			written.push(this.#name(fields[index]!), fields[index + 1]!);
+		}
+
+		return written;
+	}
+
+	/** Writes the fields of an object. */
+	writeFields(fields: HeaderFields): WireFields {
+		const written: Array<string | number | readonly string[]> = [];
+		for (const name of Object.keys(fields)) {
+			const value = fields[name];
+			if (value !== undefined) {
+				written.push(this.#name(name), value);
+			}
+		}
+
+		return written;
+	}
+
+	#name(name: string): string | number {
+		const known = this.#numbers.get(name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		if (this.#numbers.size < rememberedNames) {
+			this.#numbers.set(name, this.#numbers.size);
+		}
+
+		return name;
+	}
+}
+
+/** Reads header fields of one direction of a connection, in the order in which they were written. */
+export class FieldReader {
+	readonly #names: string[] = [];
+
+	/**
+	Reads names and values in turn.
+
+	@throws {InvalidInputError} A name is neither a text nor a number that is known.
+	*/
+	readList(fields: WireFields): string[] {
+		const read: string[] = [];
+		for (let index = 0; index + 1 < fields.length; index += 2) {
+			read.push(this.#name(fields[index]), fields[index + 1] as string);
+		}
+
+		return read;
+	}
+
+	/**
+	Reads fields as an object.
+
+	@throws {InvalidInputError} A name is neither a text nor a number that is known.
+	*/
+	readFields(fields: WireFields): HeaderFields {
+		const read: Record<string, string | readonly string[]> = {};
+		for (let index = 0; index + 1 < fields.length; index += 2) {
+			read[this.#name(fields[index])] = fields[index + 1] as string | readonly string[];
+		}
+
+		return read;
+	}
+
+	#name(value: WireFields[number] | undefined): string {
+		if (typeof value === 'string') {
+			if (this.#names.length < rememberedNames) {
+				this.#names.push(value);
+			}
+
+			return value;
+		}
+
+		const name = typeof value === 'number' ? this.#names[value] : undefined;
+		if (name === undefined) {
+			throw new InvalidInputError('a name of a field is not known on this connection');
+		}
+
+		return name;
+	}
+}
+
+type WireCall = readonly [RequestId, RequestId | 0, TeamName | 0, number, number, number, number, 0 | 1, JobClaimFields | 0];
+
+/** Writes a call as a list of its parts. */
+export function writeCall({requestId, rootId, team, priority, timeoutMilliseconds, remainingAttempts, depth, idempotent, job}: PeerCall): WireCall {
+	return [requestId, requestId.startsWith(rootId) ? 0 : rootId, team ?? 0, priority, timeoutMilliseconds, remainingAttempts, depth, idempotent ? 1 : 0, job ?? 0];
+}
+
+/**
+Reads a call.
+
+@throws {InvalidInputError} The value is not a call.
+*/
+export function readCall(value: unknown): PeerCall {
+	if (!Array.isArray(value)) {
+		throw new InvalidInputError('the call of a peer is malformed');
+	}
+
+	const [requestId, rootId, team, priority, timeoutMilliseconds, remainingAttempts, depth, isIdempotent, job] = value as unknown as WireCall;
+	if (typeof requestId !== 'string' || requestId === '' || !areCounts([priority, timeoutMilliseconds, remainingAttempts, depth])) {
+		throw new InvalidInputError('the call of a peer is malformed');
+	}
+
+	return {
+		requestId,
+		rootId: rootId === 0 ? rootOf(requestId) : rootId,
+		team: team === 0 ? undefined : team,
+		priority,
+		timeoutMilliseconds,
+		remainingAttempts,
+		depth,
+		idempotent: isIdempotent === 1,
+		job: job === 0 ? undefined : job,
+	};
+}
+
+/** The request of an attempt whose id begins with that of the request. */
+function rootOf(requestId: RequestId): RequestId {
+	return requestId.slice(0, requestId.lastIndexOf('.')) as RequestId;
+}
+
+function areCounts(values: readonly unknown[]): boolean {
+	return values.every(value => Number.isSafeInteger(value) && (value as number) >= 0);
+}
+
+/** Retries left, milliseconds queued, 1 if the upstream had the request, and the gate's level where it is known. */
+type WireNote = readonly [number, number, 0 | 1, ...number[]];
+
+/** Writes what rides back beside an answer. */
+export function writeNote({level, retriesLeft, queuedMilliseconds, hasArrived}: GateNote): WireNote {
+	const queued = Math.round(queuedMilliseconds ?? 0);
+	const arrived = hasArrived === true ? 1 : 0;
+	return level === undefined
+		? [retriesLeft, queued, arrived]
+		: [retriesLeft, queued, arrived, level.inFlight, level.limit, level.queueLength, level.shedPriority];
+}
+
+/**
+Reads what rides back beside an answer.
+
+@throws {InvalidInputError} The value is not a note.
+*/
+export function readNote(value: unknown): GateNote {
+	if (!Array.isArray(value) || !areCounts(value)) {
+		throw new InvalidInputError('the note of a gate is malformed');
+	}
+
+	const [retriesLeft, queuedMilliseconds, arrived, inFlight, limit, queueLength, shedPriority] = value as [number, number, 0 | 1, number?, number?, number?, number?];
+	return {
+		retriesLeft,
+		queuedMilliseconds,
+		hasArrived: arrived === 1,
+		level: inFlight === undefined || limit === undefined || queueLength === undefined || shedPriority === undefined
+			? undefined
+			: {
+				inFlight, limit, queueLength, shedPriority,
+			},
+	};
+}
--- a/packages/node/src/channel-listener/index.ts
+++ b/packages/node/src/channel-listener/index.ts
@@ -5,7 +5,7 @@
 
 import {InvalidInputError, type Clock, type Problem} from '@fireflyglade/model';
 import {
-	FrameConnectionError, FrameListener, selectRequestFields,
+	FrameConnectionError, FrameListener, selectAnswerFields,
 	type AnswerFlow, type AnswerHead, type FrameConnection, type FrameConnectionHandlers, type HeaderFields,
 } from '@fireflyglade/transport';
 import type {Gate} from '../gate/index.js';
@@ -13,8 +13,10 @@
 	CallReceiver, GateNote, RunningCall,
 } from '../_lib/call-types.js';
 import {contextOf} from '../_lib/gate-call/index.js';
-import {parsePeerCall, SecretCheck} from '../_lib/peer-fields/index.js';
-import {peerMessageKinds as kinds} from '../_lib/peer-messages/index.js';
+import {SecretCheck} from '../_lib/peer-fields/index.js';
+import {
+	FieldReader, FieldWriter, peerMessageKinds as kinds, readCall, writeNote, type WireFields,
+} from '../_lib/peer-messages/index.js';
 
 /** What the listener is given. */
 export type ChannelListenerOptions = {
@@ -36,6 +38,8 @@
 	readonly #options: ChannelListenerOptions;
 	readonly #check: SecretCheck;
 	readonly #calls = new Map<number, PeerCallAnswer>();
+	readonly #reader = new FieldReader();
+	readonly #writer = new FieldWriter();
 	#isLetIn = false;
 
 	constructor(connection: () => FrameConnection, options: ChannelListenerOptions, check: SecretCheck) {
@@ -116,20 +120,21 @@
 	}
 
 	#run(number: number, message: readonly unknown[]): void {
-		const [text, traceparent, method, path, headers, body] = message.slice(2) as [string, string, string, string, readonly string[], Uint8Array | undefined];
-		const answer = new PeerCallAnswer(number, this.#connection(), () => {
+		const [text, traceparent, method, path, fields, body] = message.slice(2) as [unknown, string, string, string, WireFields, Uint8Array | null];
+		const headers = this.#reader.readList(fields);
+		const call = readCall(text);
+		const answer = new PeerCallAnswer(number, {connection: this.#connection(), writer: this.#writer}, () => {
 			this.#calls.delete(number);
 		});
 		this.#calls.set(number, answer);
-		const call = parsePeerCall(text);
 		const {idempotent, job} = call;
 		const running = this.#options.gate.run({
 			context: contextOf(call, traceparent, this.#options.clock.now()),
 			idempotent,
-			...(job === undefined ? {} : {job}),
+			job,
 			method,
 			path,
-			headers: selectRequestFields(headers),
+			headers,
 			body: body ?? undefined,
 			bodyLength: body?.length,
 		}, answer);
@@ -137,40 +142,70 @@
 	}
 }
 
+/** Parts of a message with the head alone. */
+const headLength = 5;
+
+/** What the answers on one connection share. */
+type PeerConnectionEnd = {
+	readonly connection: FrameConnection;
+	readonly writer: FieldWriter;
+};
+
 /** Passes one answer on to the entry node. */
 class PeerCallAnswer implements CallReceiver {
 	running: RunningCall | undefined;
 	flow: AnswerFlow | undefined;
 	readonly #number: number;
 	readonly #connection: FrameConnection;
+	readonly #writer: FieldWriter;
 	readonly #ended: () => void;
 	#isHeldBack = false;
+	/** The head while it has not left, so that the first bytes and the end can go with it. */
+	#head: unknown[] | undefined;
+	#headFlush = 0;
 
-	constructor(number: number, connection: FrameConnection, ended: () => void) {
+	constructor(number: number, {connection, writer}: PeerConnectionEnd, ended: () => void) {
 		this.#number = number;
 		this.#connection = connection;
+		this.#writer = writer;
 		this.#ended = ended;
 	}
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
 		this.flow = flow;
-		this.#connection.send([kinds.head, this.#number, head.status, head.headers, note]);
+		this.#head = [kinds.head, this.#number, head.status, this.#writer.writeFields(selectAnswerFields(head.headers)), writeNote(note)];
+		this.#headFlush = this.#connection.flushes;
+		this.#connection.send(this.#head);
 	}
 
 	onData(chunk: Uint8Array): void {
-		if (!this.#connection.send([kinds.data, this.#number, chunk])) {
+		const head = this.#unsentHead();
+		if (head?.length === headLength) {
+			head.push(Buffer.from(chunk));
+			return;
+		}
+
+		this.#head = undefined;
+		if (!this.#connection.send([kinds.data, this.#number, Buffer.from(chunk)])) {
 			this.#isHeldBack = true;
 			this.flow?.pause();
 		}
 	}
 
 	onEnd(trailers: HeaderFields): void {
-		this.#connection.send([kinds.end, this.#number, trailers]);
+		const head = this.#unsentHead();
+		if (head === undefined || Object.keys(trailers).length > 0) {
+			this.#connection.send([kinds.end, this.#number, trailers]);
+		} else {
+			head.push(...(head.length === headLength ? [null, 1] : [1]));
+		}
+
+		this.#head = undefined;
 		this.#ended();
 	}
 
 	onProblem({code, outcome, detail, retryAfterMilliseconds}: Problem, note: GateNote): void {
-		this.#connection.send([kinds.problem, this.#number, code, outcome, detail, retryAfterMilliseconds ?? null, note]);
+		this.#connection.send([kinds.problem, this.#number, code, outcome, detail, retryAfterMilliseconds ?? null, writeNote(note)]);
 		this.#ended();
 	}
 
@@ -179,6 +214,15 @@
 		this.#ended();
 	}
 
+	/** The head if nothing has left or was sent after it. */
+	#unsentHead(): unknown[] | undefined {
+		if (this.#head !== undefined && this.#connection.flushes !== this.#headFlush) {
+			this.#head = undefined;
+		}
+
+		return this.#head;
+	}
+
 	/** The connection has room again. */
 	resumeAfterDrain(): void {
 		if (this.#isHeldBack) {
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -224,14 +224,15 @@
 		return this.#targets;
 	}
 
-	async charge(team: TeamName, requestId: RequestId): Promise<ChargeOutcome> {
+	charge(team: TeamName, requestId: RequestId): ChargeOutcome | Promise<ChargeOutcome> {
 		const now = this.#options.clock.now();
 		this.#noteCharge(now);
-		const outcome = new Promise<ChargeOutcome>(resolve => {
+		const actions = this.#rates.charge(team, requestId, now);
+		const decided = actions.decisions.find(decision => decision.requestId === requestId);
+		this.#takeRates(actions);
+		return decided?.outcome ?? new Promise<ChargeOutcome>(resolve => {
 			this.#pendingCharges.set(requestId, resolve);
 		});
-		this.#takeRates(this.#rates.charge(team, requestId, now));
-		return outcome;
 	}
 
 	refund(requestId: RequestId): void {
--- a/packages/node/src/gate/index.ts
+++ b/packages/node/src/gate/index.ts
@@ -166,7 +166,10 @@
 
 		this.#exchanges.set(requestId, exchange);
 		exchange.offer(upstream);
-		this.#startTicker();
+		if (upstream.admission.isAnyWaiting) {
+			this.#startTicker();
+		}
+
 		return exchange;
 	}
 
@@ -229,7 +232,7 @@
 
 		const now = this.options.clock.now();
 		this.apply(upstream.admission.tick(now));
-		if (upstream.admission.level(now).queueLength > 0) {
+		if (upstream.admission.isAnyWaiting) {
 			this.#startTicker();
 		}
 	}
--- a/packages/node/src/types.ts
+++ b/packages/node/src/types.ts
@@ -24,7 +24,7 @@
 	connectivity(): Connectivity;
 	/** Targets of all services that this node may call. */
 	targets(): readonly Target[];
-	charge(team: TeamName, requestId: RequestId): Promise<ChargeOutcome>;
+	charge(team: TeamName, requestId: RequestId): ChargeOutcome | Promise<ChargeOutcome>;
 	/** Gives the token of a request back once, as the request did not run for lack of capacity. */
 	refund(requestId: RequestId): void;
 	/** The request has ended; its token is spent. */
--- a/packages/routing/src/entry-throttle/index.ts
+++ b/packages/routing/src/entry-throttle/index.ts
@@ -14,7 +14,7 @@
 /** What the throttle counts together. */
 export type ThrottleKey = {
 	readonly service: ServiceName;
-	readonly team?: TeamName;
+	readonly team?: TeamName | undefined;
 	readonly priority: number;
 };
 
--- a/packages/scenario/src/bench/overload/_lib/relayed-fleet/index.ts
+++ b/packages/scenario/src/bench/overload/_lib/relayed-fleet/index.ts
@@ -81,7 +81,7 @@
 		return this.#targets;
 	}
 
-	async charge(): ReturnType<Fleet['charge']> {
+	charge(): ReturnType<Fleet['charge']> {
 		return {kind: 'admitted'};
 	}
 
--- a/packages/storage/src/open-log-storage/index.ts
+++ b/packages/storage/src/open-log-storage/index.ts
@@ -33,10 +33,18 @@
 	readonly segmentBytes: number;
 	/** The process that the lock names; this one, but for tests of a restart. */
 	readonly owner?: LockOwner;
+	/** True where whoever starts the process makes sure that it is alone on its folder; no lock is taken then. */
+	readonly isAlone?: boolean;
 };
 
 const defaultSegmentBytes = 16_777_216;
 
+const noLock: FolderLock = {
+	async release() {
+		// Nothing is held.
+	},
+};
+
 /**
 Opens the log in a folder, which is created if need be, and takes its lock.
 
@@ -53,7 +61,7 @@
 export async function openLogStorage(folder: string, options: Partial<LogStorageOptions> = {}): Promise<LogStorage> {
 	const fileSystem = options.fileSystem ?? new NodeFileSystem();
 	await fileSystem.makeFolder(folder);
-	const lock = await lockFolder(fileSystem, folder, options.owner);
+	const lock = options.isAlone === true ? noLock : await lockFolder(fileSystem, folder, options.owner);
 	try {
 		await removePartialSnapshot(fileSystem, folder);
 		const storage = new SegmentedLog(folder, lock, {fileSystem, segmentBytes: options.segmentBytes ?? defaultSegmentBytes});
--- a/packages/storage/src/open-log-storage/test.ts
+++ b/packages/storage/src/open-log-storage/test.ts
@@ -208,4 +208,13 @@
 		await next.close();
 		await dead.close();
 	});
+
+	it('opens a folder that a process left locked, where it is known to be alone', async () => {
+		const other = {pid: process.ppid, startedAt: ''};
+		const left = await openLogStorage(path, {owner: other});
+		expect(await failureOf(openLogStorage(path))).to.be.instanceOf(FolderLockedError);
+		const storage = await openLogStorage(path, {isAlone: true});
+		await storage.close();
+		await left.close();
+	});
 });
--- a/packages/transport/src/frame-connection/index.ts
+++ b/packages/transport/src/frame-connection/index.ts
@@ -1,8 +1,8 @@
 /**
 A connection that carries many small messages both ways.
 
-Each message is a MessagePack value behind its length. All that is sent in one
-turn of the event loop leaves in one write. The connection proves that the other
+Each message is a MessagePack value behind its length. All that is sent while one
+event is handled leaves in one write. The connection proves that the other
 side still answers: one that is silent for too long while an answer is due counts
 as lost, since a broken path need not reset it.
 */
@@ -61,7 +61,8 @@
 	readonly #handlers: FrameConnectionHandlers;
 	readonly #clock: Clock;
 	readonly #largestMessageBytes: number;
-	#outgoing: Uint8Array[] = [];
+	#outgoing: Array<readonly unknown[]> = [];
+	#flushes = 0;
 	#received: Uint8Array = new Uint8Array(0);
 	#heardAt: number;
 	#watch: Timer | undefined;
@@ -100,25 +101,39 @@
 		return this.#isClosed;
 	}
 
-	/** Sends a message; returns false if much is waiting to leave. */
+	/** Number of writes so far: a message that was sent at this count may still be added to. */
+	get flushes(): number {
+		return this.#flushes;
+	}
+
+	/** Sends a message, which is read when the event that is handled now has ended; returns false if much is waiting to leave. */
 	send(message: readonly unknown[]): boolean {
 		if (this.#isClosed) {
 			return true;
 		}
 
-		const packed = packr.pack(message);
-		const length = new Uint8Array(lengthBytes);
-		new DataView(length.buffer).setUint32(0, packed.length);
-		this.#outgoing.push(length, packed);
-		if (this.#outgoing.length === 2) {
-			setImmediate(() => {
-				this.#flush();
-			});
+		this.#outgoing.push(message);
+		if (this.#outgoing.length === 1) {
+			process.nextTick(flushConnection, this);
 		}
 
 		return !this.#isFull;
 	}
 
+	/** Writes what was sent. */
+	flush(): void {
+		if (this.#outgoing.length === 0 || this.#isClosed) {
+			return;
+		}
+
+		const messages = this.#outgoing;
+		this.#outgoing = [];
+		this.#flushes++;
+		if (!this.#socket.write(packFrames(messages))) {
+			this.#isFull = true;
+		}
+	}
+
 	/** Watches that the other side goes on answering, while `isAnswerDue` holds. */
 	watch(isAnswerDue: () => boolean): void {
 		if (this.#watch === undefined && !this.#isClosed) {
@@ -135,7 +150,7 @@
 
 	/** Ends the connection once all that was sent has left. */
 	close(): void {
-		this.#flush();
+		this.flush();
 		this.#socket.end();
 	}
 
@@ -174,23 +189,11 @@
 		});
 	}
 
-	#flush(): void {
-		if (this.#outgoing.length === 0 || this.#isClosed) {
-			return;
-		}
-
-		const bytes = Buffer.concat(this.#outgoing);
-		this.#outgoing = [];
-		if (!this.#socket.write(bytes)) {
-			this.#isFull = true;
-		}
-	}
-
 	#take(bytes: Uint8Array): void {
 		this.#heardAt = this.#clock.now();
 		let rest: Uint8Array = this.#received.length === 0 ? bytes : Buffer.concat([this.#received, bytes]);
 		while (rest.length >= lengthBytes && !this.#isClosed) {
-			const length = new DataView(rest.buffer, rest.byteOffset, lengthBytes).getUint32(0);
+			const length = readLength(rest);
 			if (length > this.#largestMessageBytes) {
 				this.destroy(new FrameConnectionError(`a message of ${length} bytes is too large`));
 				return;
@@ -236,6 +239,27 @@
 	}
 }
 
+function readLength(bytes: Uint8Array): number {
+	return ((bytes[0]! << 24) | (bytes[1]! << 16) | (bytes[2]! << 8) | bytes[3]!) >>> 0;
+}
+
+function flushConnection(connection: FrameConnection): void {
+	connection.flush();
+}
+
+/** Packs messages one behind the other, each behind its length. */
+function packFrames(messages: ReadonlyArray<readonly unknown[]>): Buffer {
+	const parts: Buffer[] = [];
+	for (const message of messages) {
+		const packed = packr.pack(message);
+		const length = Buffer.allocUnsafe(lengthBytes);
+		length.writeUInt32BE(packed.length);
+		parts.push(length, packed);
+	}
+
+	return Buffer.concat(parts);
+}
+
 function decodeFrame(bytes: Uint8Array): readonly unknown[] | undefined {
 	try {
 		const value = packr.unpack(bytes) as unknown;
