Let callers' requests in by the room that the call graph shows

The least important requests ask for most of that work.

Changed: an entry node lowers the share of the least important priority in use when a request fails for lack of room, and raises it with each success (`RootShare`).

Ruled out: failures as refusals of the throttle, which lowers all priorities alike.

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -15,7 +15,7 @@
 } from '@fireflyglade/model';
 import {
 	backoffDelay, lowerAttempts, splitAttempts,
-	type AttemptOutcome, type AttemptSplit, type EntryThrottle, type RetryBudgets, type Routing, type ThrottleKey,
+	type AttemptOutcome, type AttemptSplit, type EntryThrottle, type RetryBudgets, type RootOutcome, type RootShare, type Routing, type ThrottleKey,
 } from '@fireflyglade/routing';
 import type {
 	AnswerFlow, AnswerHead, HeaderFields, RequestBody,
@@ -61,6 +61,8 @@
 	readonly retryBudgets: RetryBudgets;
 	/** Refuses at once what the gates would refuse; nothing is refused so if it is absent. */
 	readonly throttle?: EntryThrottle;
+	/** Lets in as much as the graph has room for, the important first; all comes in if it is absent. */
+	readonly rootShare?: RootShare;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -135,6 +137,14 @@
 	/** Sends the first attempt. */
 	start(): void {
 		const {clock, retryBudgets, throttle} = this.#options;
+		if (!this.#isLetIn()) {
+			this.#isDone = true;
+			this.#receiver.onProblem({
+				code: 'overloaded', outcome: 'not-run', detail: 'the call graph has room for more important requests alone', retryAfterMilliseconds: this.#spreadRetry(),
+			});
+			return;
+		}
+
 		const isThrottled = this.#call.depth === 0 && throttle?.shouldRefuse(this.#throttleKey(), clock.now());
 		if (isThrottled) {
 			this.#finish({
@@ -174,6 +184,7 @@
 			return;
 		}
 
+		this.#recordRoot(lackingRoomStatuses.has(head.status) ? 'lacked-room' : 'served');
 		this.#isAnswering = true;
 		this.#receiver.onHead(head, flow);
 	}
@@ -229,6 +240,23 @@
 		this.#receiver.onBroken();
 	}
 
+	/** Requests of callers come in by their share; the parts of a chain that has begun always do. */
+	#isLetIn(): boolean {
+		const {rootShare, clock, random} = this.#options;
+		return rootShare === undefined || this.#call.depth > 0 || rootShare.admits(this.#call.priority, clock.now(), random);
+	}
+
+	#recordRoot(outcome: RootOutcome): void {
+		if (this.#call.depth === 0) {
+			this.#options.rootShare?.record(this.#call.priority, outcome, this.#options.clock.now());
+		}
+	}
+
+	/** Callers that were refused together don't come back together. */
+	#spreadRetry(): number {
+		return throttledRetryMilliseconds * (0.5 + this.#options.random.nextFraction());
+	}
+
 	#throttleKey(): ThrottleKey {
 		const {team, priority, service} = this.#call;
 		return {service, team, priority};
@@ -387,11 +415,18 @@
 			return;
 		}
 
+		if (lackingRoomCodes.has(problem.code)) {
+			this.#recordRoot('lacked-room');
+		}
+
 		this.#end();
 		this.#receiver.onProblem(this.#mayHaveRun ? {...problem, outcome: 'unknown'} : problem);
 	}
 }
 
+/** Answers of an upstream by which it says that it, or one that it called, had no room or no time. */
+const lackingRoomStatuses: ReadonlySet<number> = new Set([500, 503, 504]);
+const lackingRoomCodes: ReadonlySet<ProblemCode> = new Set(['overloaded', 'queue-timeout', 'deadline-exceeded']);
 const noTargetRetryMilliseconds = 1000;
 const throttledRetryMilliseconds = 500;
 /** Time after the deadline for the gate itself to say what became of the call. */
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -7,7 +7,7 @@
 	announcementIntervalMilliseconds, bytesInKibibyte,
 	type Configuration, type GateLevel, type Target, type TeamName, type Timer,
 } from '@fireflyglade/model';
-import {EntryThrottle} from '@fireflyglade/routing';
+import {EntryThrottle, RootShare} from '@fireflyglade/routing';
 import {
 	HttpListener,
 	type FrameListener, type OutcomeAnswer, type OutcomeQuestion,
@@ -114,6 +114,7 @@
 			node: settings.node,
 			ownGate: this.#gate,
 			throttle: new EntryThrottle(),
+			...(dependencies.sharesRoots === true ? {rootShare: new RootShare()} : {}),
 			remoteGate: target => (this.#channelGates ?? this.#remoteGates).to(target),
 		};
 		const shared = {dependencies, attempts, counters: this.#counters};
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -91,6 +91,8 @@
 	readonly routing: Routing;
 	readonly retryBudgets: RetryBudgets;
 	/** The interface to callers and upstream; the product's own if absent. */
+	/** True if callers' requests are let in by the room that the call graph shows, where calls below can't be told apart. */
+	readonly sharesRoots?: boolean;
 	readonly callInterface?: CallInterface;
 	/** Address of the listener for connections that carry many calls of other nodes; such calls go by HTTP if absent. */
 	readonly channelAddress?: string;
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -30,6 +30,8 @@
 	readonly randomSeed?: number;
 	/** The interface to callers and upstream; the product's own if absent. */
 	readonly callInterface?: CallInterface;
+	/** True if callers' requests are let in by the room that the call graph shows. */
+	readonly sharesRoots?: boolean;
 	/** Address of the listener for connections that carry many calls of other nodes; such calls go by HTTP if absent. */
 	readonly channelAddress?: string;
 	/** Address of the only upstream that may announce itself. */
@@ -111,6 +113,7 @@
 		routing: new TargetRouting({domain: settings.domain, node: settings.node}),
 		retryBudgets: createRetryBudgets(fleet, options.fleetRetryBudget),
 		...(options.callInterface === undefined ? {} : {callInterface: options.callInterface}),
+		...(options.sharesRoots === undefined ? {} : {sharesRoots: options.sharesRoots}),
 		...(options.channelAddress === undefined ? {} : {channelAddress: options.channelAddress}),
 		...(options.ownUpstreamAddress === undefined ? {} : {ownUpstreamAddress: options.ownUpstreamAddress}),
 		...(options.announcementTimeoutMilliseconds === undefined ? {} : {announcementTimeoutMilliseconds: options.announcementTimeoutMilliseconds}),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,6 +6,7 @@
 export * from './choose-subset/index.js';
 export * from './entry-throttle/index.js';
 export * from './node-retry-budget/index.js';
+export * from './root-share/index.js';
 export * from './service-retry-budgets/index.js';
 export * from './split-attempts/index.js';
 export * from './target-routing/index.js';
