--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -178,7 +178,7 @@
 		this.#level = note.level;
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
 		this.#remaining = lowerAttempts(this.#split, {kind: 'ran', unspent: note.retriesLeft});
-		if (retryableStatuses.has(head.status) && this.#call.route.idempotent && this.#takeRetry()) {
+		if (retryableStatuses.has(head.status) && this.#call.route.idempotent && this.#hasRoomBelow() && this.#takeRetry()) {
 			this.#isDiscarding = true;
 			this.#mayHaveRun = true;
 			return;
@@ -246,6 +246,12 @@
 		return rootShare === undefined || this.#call.depth > 0 || rootShare.admits(this.#call.priority, clock.now(), random);
 	}
 
+	/** A chain that failed would ask for all its work again, which is spared while the graph lacks room. */
+	#hasRoomBelow(): boolean {
+		const {rootShare, clock} = this.#options;
+		return rootShare === undefined || rootShare.isOpen(clock.now());
+	}
+
 	#recordRoot(outcome: RootOutcome): void {
 		if (this.#call.depth === 0) {
 			this.#options.rootShare?.record(this.#call.priority, outcome, this.#options.clock.now());
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -15,7 +15,7 @@
 	BodyBrokenError, selectRequestFields, writeProblem,
 	type RequestBody,
 } from '@fireflyglade/transport';
-import {productCallInterface, type CallInterface} from '../../call-interface/index.js';
+import {problemFieldsOf, productCallInterface, type CallInterface} from '../../call-interface/index.js';
 import type {FinishedRequest, NodeDependencies} from '../../dependencies.js';
 import type {ChargeOutcome} from '@fireflyglade/rates';
 import {CallAttempts, type CallAttemptsOptions, type EntryCall} from '../call-attempts/index.js';
@@ -184,7 +184,7 @@
 			job: isJob ? job : undefined,
 			requestId,
 			traceparent,
-			answer: new FinalAnswer(response, end => {
+			answer: new FinalAnswer(response, this.#interface, end => {
 				this.#finish(admitted, end, start);
 			}),
 		};
@@ -345,7 +345,7 @@
 			response.shouldKeepAlive = false;
 		}
 
-		writeProblem(response, problem);
+		writeProblem(response, problem, problemFieldsOf(this.#interface, problem));
 		this.#options.dependencies.observer.requestFinished({
 			side: this.#options.policy.side,
 			...(route === undefined ? {} : {route: route.id}),
@@ -423,8 +423,10 @@
 	code: 'no-configuration', outcome: 'not-run', detail: 'the node holds no confirmed configuration yet', retryAfterMilliseconds: noConfigurationRetryMilliseconds,
 };
 
+/** Milliseconds after which callers have been moved to another node. */
+const drainingRetryMilliseconds = 500;
 const drainingNodeProblem: Problem = {
-	code: 'draining', outcome: 'not-run', detail: 'the node shuts down', retryAfterMilliseconds: 0,
+	code: 'draining', outcome: 'not-run', detail: 'the node shuts down', retryAfterMilliseconds: drainingRetryMilliseconds,
 };
 
 /** Status in figures for a request whose caller went away. */
--- a/packages/node/src/_lib/final-answer/index.ts
+++ b/packages/node/src/_lib/final-answer/index.ts
@@ -8,6 +8,7 @@
 	AnswerWriter, writeProblem,
 	type AnswerFlow, type AnswerHead, type HeaderFields,
 } from '@fireflyglade/transport';
+import {problemFieldsOf, type CallInterface} from '../../call-interface/index.js';
 import type {FinalReceiver} from '../call-attempts/index.js';
 
 /** How an answer ended. */
@@ -21,12 +22,14 @@
 export class FinalAnswer implements FinalReceiver {
 	readonly #response: ServerResponse;
 	readonly #writer: AnswerWriter;
+	readonly #interface: CallInterface;
 	readonly #ended: (end: AnswerEnd) => void;
 	#status = 0;
 	#isEnded = false;
 
-	constructor(response: ServerResponse, ended: (end: AnswerEnd) => void) {
+	constructor(response: ServerResponse, callInterface: CallInterface, ended: (end: AnswerEnd) => void) {
 		this.#response = response;
+		this.#interface = callInterface;
 		this.#writer = new AnswerWriter(response);
 		this.#ended = ended;
 	}
@@ -51,7 +54,7 @@
 	}
 
 	onProblem(problem: Problem): void {
-		writeProblem(this.#response, problem);
+		writeProblem(this.#response, problem, problemFieldsOf(this.#interface, problem));
 		this.#end({kind: 'problem', problem, status: statusOfProblem(problem)});
 	}
 
--- /dev/null
+++ b/packages/node/src/_lib/peer-messages/test.ts
@@ -0,0 +1,75 @@
+import {InvalidInputError, type RequestId, type TeamName} from '@fireflyglade/model';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import type {PeerCall} from '../peer-fields/index.js';
+import {
+	FieldReader, FieldWriter, readCall, readNote, writeCall, writeNote,
+} from './index.js';
+
+const call: PeerCall = {
+	requestId: 'abc.1.1' as RequestId,
+	rootId: 'abc.1' as RequestId,
+	team: 'north' as TeamName,
+	priority: 2,
+	timeoutMilliseconds: 400,
+	remainingAttempts: 1,
+	depth: 0,
+	idempotent: true,
+	job: undefined,
+};
+
+describe('Messages between nodes', () => {
+	it('gives every field back, however names repeat', () => {
+		const names = fc.constantFrom('host', 'content-type', 'x-a', 'x-b');
+		const lists = fc.array(fc.array(fc.tuple(names, fc.string()), {maxLength: 8}), {maxLength: 20});
+		fc.assert(fc.property(lists, messages => {
+			const writer = new FieldWriter();
+			const reader = new FieldReader();
+			for (const message of messages) {
+				const fields = message.flat();
+				expect(reader.readList(writer.writeList(fields))).to.deep.equal(fields);
+			}
+		}));
+	});
+
+	it('goes on once more names were used than a connection remembers', () => {
+		const writer = new FieldWriter();
+		const reader = new FieldReader();
+		for (let count = 0; count < 600; count++) {
+			const fields = {[`x-${count}`]: 'a', [`x-${count % 300}`]: 'b'};
+			expect(reader.readFields(writer.writeFields(fields))).to.deep.equal(fields);
+		}
+	});
+
+	it('refuses a number for which no name was told', () => {
+		expect(() => new FieldReader().readList([3, 'value'])).to.throw(InvalidInputError);
+	});
+
+	it('gives a call back, also one whose root is another request', () => {
+		expect(readCall(writeCall(call))).to.deep.equal(call);
+		const deeper = {...call, rootId: 'other.7' as RequestId, team: undefined, idempotent: false};
+		expect(readCall(writeCall(deeper))).to.deep.equal(deeper);
+	});
+
+	it('refuses what is no call', () => {
+		for (const value of [undefined, 'call', [], ['abc', 0, 0, -1, 1, 1, 0, 1, 0], ['', 0, 0, 1, 1, 1, 0, 1, 0]]) {
+			expect(() => readCall(value)).to.throw(InvalidInputError);
+		}
+	});
+
+	it('gives a note back, with and without a level', () => {
+		const note = {
+			retriesLeft: 2,
+			queuedMilliseconds: 31,
+			hasArrived: true,
+			level: {
+				inFlight: 1, limit: 4, queueLength: 2, shedPriority: 3,
+			},
+		};
+		expect(readNote(writeNote(note))).to.deep.equal(note);
+		expect(readNote(writeNote({retriesLeft: 0}))).to.deep.equal({
+			retriesLeft: 0, queuedMilliseconds: 0, hasArrived: false, level: undefined,
+		});
+		expect(() => readNote('none')).to.throw(InvalidInputError);
+	});
+});
--- a/packages/node/src/call-interface/index.ts
+++ b/packages/node/src/call-interface/index.ts
@@ -4,7 +4,7 @@
 whoever starts the node.
 */
 
-import type {ServiceName} from '@fireflyglade/model';
+import {millisecondsInSecond, type Problem, type ServiceName} from '@fireflyglade/model';
 
 /** How a node meets callers and its upstream. Names of fields are in lower case. */
 export type CallInterface = {
@@ -30,6 +30,8 @@
 	readonly openCallsContinueChains: boolean;
 	/** True if each hop continues the caller's W3C trace context, or begins one; else it passes on unchanged. */
 	readonly isTraced: boolean;
+	/** True if the time after which a retry may help is told in fractions of seconds; else in whole seconds. */
+	readonly isRetryAfterFractional: boolean;
 	/** Fields of callers that are never passed on, beside those of the product. */
 	readonly droppedFields: ReadonlySet<string>;
 };
@@ -43,5 +45,18 @@
 	contextField: 'fireflyglade-context',
 	openCallsContinueChains: false,
 	isTraced: true,
+	isRetryAfterFractional: false,
 	droppedFields: new Set(),
 };
+
+/** Fields of an answer that states a problem, beside those of every such answer. */
+export function problemFieldsOf(callInterface: CallInterface, problem: Problem): Readonly<Record<string, string>> {
+	const {retryAfterMilliseconds} = problem;
+	if (retryAfterMilliseconds === undefined || !callInterface.isRetryAfterFractional) {
+		return noFields;
+	}
+
+	return {'retry-after': (Math.max(1, Math.round(retryAfterMilliseconds)) / millisecondsInSecond).toFixed(3)};
+}
+
+const noFields: Readonly<Record<string, string>> = {};
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -11,7 +11,7 @@
 	type Target, type TeamName, type Timer,
 } from '@fireflyglade/model';
 import {
-	TokenRateKeeper, type ChargeOutcome, type HolderView, type RateActions,
+	TokenRateKeeper, type ChargeOutcome, type HolderView, type RateActions, type RateTolerance,
 } from '@fireflyglade/rates';
 import type {
 	NodeReport, ReportAnswer, RpcClient, RpcServer, TeamFigures,
@@ -42,6 +42,8 @@
 	readonly discovers?: boolean;
 	/** Keys are served only while a quorum has confirmed the configuration lately; always if absent. */
 	readonly freshness?: KeyFreshness;
+	/** What teams may get beyond rate and burst, the same at every node; nothing if absent. */
+	readonly rateTolerance?: RateTolerance;
 	/** Milliseconds that a control process may hold its answer to a report. */
 	readonly reportWaitMilliseconds?: number;
 	/** Called with what changes in the node's view of the fleet, for the log. */
@@ -105,7 +107,9 @@
 		this.#options = options;
 		this.#control = options.control;
 		this.#configuredControl = options.control;
-		this.#rates = new TokenRateKeeper({node, domain, run: Math.floor(clock.wallNow())});
+		this.#rates = new TokenRateKeeper({
+			node, domain, run: Math.floor(clock.wallNow()), tolerance: options.rateTolerance,
+		});
 		this.#connectivity = {kind: 'control-outage', since: clock.now()};
 	}
 
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -9,6 +9,7 @@
 import {
 	ProcessObserver, createSpanRecorder, type Fields, type SpanRecorder,
 } from '@fireflyglade/observability';
+import type {RateTolerance} from '@fireflyglade/rates';
 import {ServiceRetryBudgets, TargetRouting, type RetryBudgets} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import {
@@ -50,6 +51,8 @@
 	readonly onFinished?: (request: FinishedRequest) => void;
 	/** Makes the concurrency limit of an upstream; an adaptive one if absent. */
 	readonly createLimit?: (options: AdmissionOptions) => ConcurrencyLimit;
+	/** What teams may get beyond rate and burst, the same at every node; nothing if absent. */
+	readonly rateTolerance?: RateTolerance;
 	/** Retries that all nodes together may send to a service. */
 	readonly fleetRetryBudget?: FleetRetryBudget;
 };
@@ -91,6 +94,7 @@
 		clock,
 		randomSeed,
 		...(options.onNote === undefined ? {} : {onNote: options.onNote}),
+		...(options.rateTolerance === undefined ? {} : {rateTolerance: options.rateTolerance}),
 		...(options.discovers === undefined ? {} : {discovers: options.discovers}),
 		...(options.reportWaitMilliseconds === undefined ? {} : {reportWaitMilliseconds: options.reportWaitMilliseconds}),
 		...(options.keyFreshnessMilliseconds === undefined ? {} : {freshness: createFreshness(clock, options.keyFreshnessMilliseconds)}),
--- a/packages/rates/src/entitlement-book/index.ts
+++ b/packages/rates/src/entitlement-book/index.ts
@@ -7,12 +7,12 @@
 */
 
 import {
-	type Configuration, emptyConfiguration, type DomainSettings, type FailureDomain, type Revision, type Team, type TeamName,
+	type Configuration, emptyConfiguration, millisecondsInSecond, type DomainSettings, type FailureDomain, type Revision, type Team, type TeamName,
 } from '@fireflyglade/model';
 import {heldMilliseconds, loanMilliseconds, partsInToken} from '../_lib/constants.js';
 import type {Entitlement} from '../lending-bucket/index.js';
 import {splitEntitlement} from '../split-entitlement/index.js';
-import type {HolderView} from '../types.js';
+import type {HolderView, RateTolerance} from '../types.js';
 
 type Domains = ReadonlyMap<FailureDomain, DomainSettings>;
 
@@ -26,11 +26,13 @@
 /** Entitlements of one domain. */
 export class EntitlementBook {
 	readonly #domain: FailureDomain;
+	readonly #tolerance: RateTolerance | undefined;
 	#configuration: Configuration = emptyConfiguration;
 	#transitions: Transition[] = [];
 
-	constructor(domain: FailureDomain) {
+	constructor(domain: FailureDomain, tolerance?: RateTolerance) {
 		this.#domain = domain;
+		this.#tolerance = tolerance;
 	}
 
 	get configuration(): Configuration {
@@ -68,9 +70,9 @@
 			return {ratePerSecond: 0, burst: 0};
 		}
 
-		let smallest = partOf(settings, this.#configuration.domains, this.#domain);
+		let smallest = this.#partOf(settings, this.#configuration.domains, this.#domain);
 		for (const {before} of this.#transitions) {
-			const part = partOf(settings, before, this.#domain);
+			const part = this.#partOf(settings, before, this.#domain);
 			smallest = {
 				ratePerSecond: Math.min(smallest.ratePerSecond, part.ratePerSecond),
 				burst: Math.min(smallest.burst, part.burst),
@@ -83,15 +85,24 @@
 	/** The part of any domain by the configuration. */
 	part(team: TeamName, domain: FailureDomain): Entitlement {
 		const settings = this.#configuration.teams.get(team);
-		return settings === undefined ? {ratePerSecond: 0, burst: 0} : partOf(settings, this.#configuration.domains, domain);
+		return settings === undefined ? {ratePerSecond: 0, burst: 0} : this.#partOf(settings, this.#configuration.domains, domain);
+	}
+
+	#partOf(team: Team, domains: Domains, domain: FailureDomain): Entitlement {
+		const takers = [...domains.values()];
+		const rates = splitEntitlement(Math.floor(team.ratePerSecond * partsInToken), takers);
+		const bursts = splitEntitlement(Math.floor((team.burst + toleratedTokens(team, this.#tolerance)) * partsInToken), takers);
+		return {ratePerSecond: rates.get(domain) ?? 0, burst: bursts.get(domain) ?? 0};
 	}
 }
 
-function partOf(team: Team, domains: Domains, domain: FailureDomain): Entitlement {
-	const takers = [...domains.values()];
-	const rates = splitEntitlement(Math.floor(team.ratePerSecond * partsInToken), takers);
-	const bursts = splitEntitlement(Math.floor(team.burst * partsInToken), takers);
-	return {ratePerSecond: rates.get(domain) ?? 0, burst: bursts.get(domain) ?? 0};
+function toleratedTokens(team: Team, tolerance: RateTolerance | undefined): number {
+	if (tolerance === undefined) {
+		return 0;
+	}
+
+	const inWindow = team.ratePerSecond * tolerance.windowMilliseconds / millisecondsInSecond;
+	return tolerance.fixed + (tolerance.share * (team.burst + inWindow));
 }
 
 function shares(domains: Domains): Map<FailureDomain, number> {
--- a/packages/rates/src/token-rate-keeper/index.ts
+++ b/packages/rates/src/token-rate-keeper/index.ts
@@ -39,11 +39,11 @@
 	readonly #outgoing: RateMessage[] = [];
 	#isClosed = false;
 
-	constructor({node, domain, run}: RateKeeperOptions) {
+	constructor({node, domain, run, tolerance}: RateKeeperOptions) {
 		this.#node = node;
 		this.#domain = domain;
 		this.#run = run;
-		this.#book = new EntitlementBook(domain);
+		this.#book = new EntitlementBook(domain, tolerance);
 		this.#lender = new Lender(domain, this.#book);
 	}
 
--- a/packages/rates/src/types.ts
+++ b/packages/rates/src/types.ts
@@ -74,7 +74,22 @@
 };
 
 /** Options of a rate keeper. */
+/**
+What a team may get beyond its rate and burst in a window, over all VMs. It lets
+tokens that lie unspent at one node be made up for at another, where a request
+would be refused although its team is within its rate.
+*/
+export type RateTolerance = {
+	/** Tokens for each team. */
+	readonly fixed: number;
+	/** Part of the burst and of what the rate gives in a window. */
+	readonly share: number;
+	readonly windowMilliseconds: number;
+};
+
 export type RateKeeperOptions = {
+	/** None if absent. */
+	readonly tolerance?: RateTolerance | undefined;
 	readonly node: NodeId;
 	readonly domain: FailureDomain;
 	/** Number that differs at each start of the process and rises from start to start. */
--- a/packages/routing/src/root-share/index.ts
+++ b/packages/routing/src/root-share/index.ts
@@ -58,6 +58,11 @@
 		return Math.min(1, state.share + (Math.max(0, now - state.changedAt) / restoreMilliseconds));
 	}
 
+	/** True if every priority comes in whole. */
+	isOpen(now: number): boolean {
+		return this.#priorities.every((_state, priority) => this.share(priority, now) >= 1);
+	}
+
 	/** Takes note of how a request ended. */
 	record(priority: number, outcome: RootOutcome, now: number): void {
 		if (outcome === 'served') {
