Split the charges from the fleet runtime, and spare work for each call

Cause: fleet-runtime had grown to 568 lines with two jobs, and the flat profile of a node (cpu profile on the local rig, 120 calls a second) showed an error object for each body that had been read whole, a copy of the limits and a throttle count for each call of a chain. Ruled out as causes of the cold cost: private fields, parsing.

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -174,7 +174,10 @@
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
 		this.#hasArrived = true;
-		this.#options.throttle?.recordTaken(this.#throttleKey(), this.#options.clock.now());
+		if (this.#call.depth === 0) {
+			this.#options.throttle?.recordTaken(this.#throttleKey(), this.#options.clock.now());
+		}
+
 		this.#level = note.level;
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
 		this.#remaining = lowerAttempts(this.#split, {kind: 'ran', unspent: note.retriesLeft});
@@ -221,7 +224,7 @@
 			return;
 		}
 
-		if (problem.code === 'overloaded') {
+		if (problem.code === 'overloaded' && this.#call.depth === 0) {
 			this.#options.throttle?.recordRefused(this.#throttleKey(), this.#options.clock.now());
 		}
 
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -45,8 +45,8 @@
 	readonly policy: CallPolicy;
 };
 
-/** What a call server takes of the configuration, beside the routes. */
-type CallerTerms = Pick<Configuration, 'callerBounds'>;
+/** The bounds of the settings, where the configuration sets no other. */
+type CallerLimits = NodeDependencies['settings']['limits'];
 
 type GrantedTerms = Extract<CallTerms, {readonly kind: 'granted'}>;
 
@@ -79,14 +79,16 @@
 	readonly #interface: CallInterface;
 	readonly #shares: ShareSequence;
 	#routes: RequestListener;
-	#terms: CallerTerms = {};
+	#limits: CallerLimits;
 	#isDraining = false;
 
 	constructor(options: CallServerOptions) {
 		this.#options = options;
 		this.#interface = options.dependencies.callInterface ?? productCallInterface;
 		this.#shares = new ShareSequence(options.dependencies.random);
-		this.#routes = this.#createRoutes(options.dependencies.fleet.configuration());
+		const configuration = options.dependencies.fleet.configuration();
+		this.#routes = this.#createRoutes(configuration);
+		this.#limits = this.#limitsOf(configuration);
 	}
 
 	/** Takes over a new configuration; calls under way keep their terms. */
@@ -94,7 +96,7 @@
 		this.#options.policy.setConfiguration(configuration);
 		this.#routes = this.#createRoutes(configuration);
 		this.#shares.retain(configuration.routes);
-		this.#terms = configuration;
+		this.#limits = this.#limitsOf(configuration);
 	}
 
 	/** Refuses new calls from now on. */
@@ -120,8 +122,8 @@
 	}
 
 	#checkHead(request: IncomingMessage): Problem | undefined {
-		const {settings, fleet} = this.#options.dependencies;
-		const limits = {...settings.limits, maximumBodyBytes: this.#maximumBodyBytes()};
+		const {fleet} = this.#options.dependencies;
+		const limits = this.#limits;
 		const problem = checkPath(request.url!, limits) ?? checkHost(request, this.#interface.keyField) ?? checkFraming(request, limits);
 		if (problem !== undefined) {
 			return problem;
@@ -134,8 +136,9 @@
 		return fleet.hasConfiguration() ? undefined : noConfigurationProblem;
 	}
 
-	#maximumBodyBytes(): number {
-		return this.#terms.callerBounds?.maximumBodyBytes ?? this.#options.dependencies.settings.limits.maximumBodyBytes;
+	#limitsOf({callerBounds}: Configuration): CallerLimits {
+		const {limits} = this.#options.dependencies.settings;
+		return {...limits, maximumBodyBytes: callerBounds?.maximumBodyBytes ?? limits.maximumBodyBytes};
 	}
 
 	#handleRouted(request: IncomingMessage, response: ServerResponse, match: RouteMatch): void {
@@ -273,7 +276,7 @@
 
 	async #readBody(admitted: Admitted, framing: BodyFraming): Promise<RequestBody> {
 		return takeBody(admitted.request, framing, {
-			maximumBytes: this.#maximumBodyBytes(),
+			maximumBytes: this.#limits.maximumBodyBytes,
 			...(admitted.job === undefined ? {} : {wholeBytes: maximumJobBodyBytes}),
 		});
 	}
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -11,12 +11,13 @@
 	type Target, type TeamName, type Timer,
 } from '@fireflyglade/model';
 import {
-	TokenRateKeeper, type ChargeOutcome, type HolderView, type RateActions, type RateTolerance,
+	TokenRateKeeper, type ChargeOutcome, type HolderView, type RateMessage, type RateTolerance,
 } from '@fireflyglade/rates';
 import type {
 	NodeReport, ReportAnswer, RpcClient, RpcServer, TeamFigures,
 } from '@fireflyglade/transport';
 import type {Fields} from '@fireflyglade/observability';
+import {TeamCharges} from '../fleet-runtime-charges/index.js';
 import {ConfigurationKeeper} from '../fleet-runtime-configuration/index.js';
 import {
 	deliverMethod, fetchConfigurationMethod, withdrawKeysMethod, type PeerBatch,
@@ -81,7 +82,7 @@
 	readonly #options: FleetRuntimeOptions;
 	readonly #keeper = new ConfigurationKeeper();
 	readonly #rates: TokenRateKeeper;
-	readonly #pendingCharges = new Map<RequestId, (outcome: ChargeOutcome) => void>();
+	readonly #charges: TeamCharges;
 	readonly #listeners = new Set<() => void>();
 	readonly #addressByNode = new Map<NodeId, string>();
 	#running: {readonly membership: GossipMembership; readonly outbox: PeerOutbox; readonly reporter: ControlReporter} | undefined;
@@ -110,6 +111,13 @@
 		this.#rates = new TokenRateKeeper({
 			node, domain, run: Math.floor(clock.wallNow()), tolerance: options.rateTolerance,
 		});
+		this.#charges = new TeamCharges({
+			keeper: this.#rates,
+			clock,
+			send: message => {
+				this.#sendRate(message);
+			},
+		});
 		this.#connectivity = {kind: 'control-outage', since: clock.now()};
 	}
 
@@ -171,7 +179,7 @@
 			return;
 		}
 
-		this.#takeRates(this.#rates.shutDown(clock.now()));
+		this.#charges.take(this.#rates.shutDown(clock.now()));
 		this.#takeMembership(running.membership.leave(clock.now()));
 		this.#running = undefined;
 		const end = clock.now() + farewellMilliseconds;
@@ -229,18 +237,12 @@
 	}
 
 	charge(team: TeamName, requestId: RequestId): ChargeOutcome | Promise<ChargeOutcome> {
-		const now = this.#options.clock.now();
-		this.#noteCharge(now);
-		const actions = this.#rates.charge(team, requestId, now);
-		const decided = actions.decisions.find(decision => decision.requestId === requestId);
-		this.#takeRates(actions);
-		return decided?.outcome ?? new Promise<ChargeOutcome>(resolve => {
-			this.#pendingCharges.set(requestId, resolve);
-		});
+		this.#noteCharge(this.#options.clock.now());
+		return this.#charges.charge(team, requestId);
 	}
 
 	refund(requestId: RequestId): void {
-		this.#takeRates(this.#rates.refund(requestId, this.#options.clock.now()));
+		this.#charges.refund(requestId);
 	}
 
 	settle(requestId: RequestId): void {
@@ -354,7 +356,7 @@
 		}
 
 		this.#noteFreshness();
-		this.#takeRates(this.#rates.tick(now));
+		this.#charges.take(this.#rates.tick(now));
 		if (now >= this.#nextMembershipTickAt) {
 			this.#nextMembershipTickAt = now + membershipTickMilliseconds;
 			this.#takeMembership(running.membership.tick(now));
@@ -411,22 +413,14 @@
 		}
 
 		for (const message of batch.rates) {
-			this.#takeRates(this.#rates.receive(message, clock.now()));
+			this.#charges.take(this.#rates.receive(message, clock.now()));
 		}
 	}
 
-	#takeRates({decisions, messages}: RateActions): void {
-		for (const {requestId, outcome} of decisions) {
-			const resolve = this.#pendingCharges.get(requestId);
-			this.#pendingCharges.delete(requestId);
-			resolve?.(outcome);
-		}
-
-		for (const message of messages) {
-			const address = this.#addressByNode.get(message.to);
-			if (address !== undefined) {
-				this.#running?.outbox.sendRate(address, message);
-			}
+	#sendRate(message: RateMessage): void {
+		const address = this.#addressByNode.get(message.to);
+		if (address !== undefined) {
+			this.#running?.outbox.sendRate(address, message);
 		}
 	}
 
@@ -511,7 +505,7 @@
 	}
 
 	#takeHolders(): void {
-		this.#takeRates(this.#rates.setHolders(this.holders(), this.#options.clock.now()));
+		this.#charges.take(this.#rates.setHolders(this.holders(), this.#options.clock.now()));
 	}
 
 	#takeOwnLease(): void {
@@ -523,7 +517,7 @@
 			: {
 				fencing: lease.fencing, until: lease.until, revisionAtStart: lease.revisionAtStart, majorityRevision: lease.revision,
 			};
-		this.#takeRates(this.#rates.setOwnLease(own, now));
+		this.#charges.take(this.#rates.setOwnLease(own, now));
 		this.#takeHolders();
 	}
 
@@ -534,7 +528,7 @@
 		}
 
 		const configuration = this.configuration();
-		this.#takeRates(this.#rates.setConfiguration(configuration, clock.now()));
+		this.#charges.take(this.#rates.setConfiguration(configuration, clock.now()));
 		if (this.#running !== undefined) {
 			this.#takeMembership(this.#running.membership.setConfiguration(configuration, clock.now()));
 			this.#takeHolders();
--- a/packages/transport/src/http-body/index.ts
+++ b/packages/transport/src/http-body/index.ts
@@ -178,6 +178,10 @@
 			reject(new BodyBrokenError('the body ended too early'));
 		});
 		const fail = (): void => {
+			if (source.readableEnded) {
+				return;
+			}
+
 			reject(new BodyBrokenError('the caller went away in the middle of the body'));
 		};
 
