Lower shares only for failures of the graph, once for each answer time

Changed: a gate says whether calls of its upstream lacked room in the last second, and only such failures count; two in a hundred are tolerated; one cut for each answer time, by the part that failed; successes in a row quicken the way back.

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -63,6 +63,8 @@
 	readonly throttle?: EntryThrottle;
 	/** Lets in as much as the graph has room for, the important first; all comes in if it is absent. */
 	readonly rootShare?: RootShare;
+	/** Called if a call of the upstream beside the node fails for lack of room. */
+	readonly onLackOfRoomBelow?: () => void;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -106,6 +108,8 @@
 	#deadlineTimer: Timer | undefined;
 	#isDiscarding = false;
 	#isDone = false;
+	/** Monotonic milliseconds at which the call came in. */
+	#startedAt = 0;
 
 	constructor(call: EntryCall, receiver: FinalReceiver, options: CallAttemptsOptions) {
 		this.#call = call;
@@ -137,6 +141,7 @@
 	/** Sends the first attempt. */
 	start(): void {
 		const {clock, retryBudgets, throttle} = this.#options;
+		this.#startedAt = clock.now();
 		if (!this.#isLetIn()) {
 			this.#isDone = true;
 			this.#receiver.onProblem({
@@ -187,7 +192,7 @@
 			return;
 		}
 
-		this.#recordRoot(lackingRoomStatuses.has(head.status) ? 'lacked-room' : 'served');
+		this.#recordAnswer(head.status, note);
 		this.#isAnswering = true;
 		this.#receiver.onHead(head, flow);
 	}
@@ -255,9 +260,27 @@
 		return rootShare === undefined || rootShare.isOpen(clock.now());
 	}
 
-	#recordRoot(outcome: RootOutcome): void {
+	/** A failure of an upstream whose own calls found room is its own, and says nothing of the graph. */
+	#recordAnswer(status: number, note: GateNote): void {
+		if (status < firstFailureStatus) {
+			this.#recordRoom('served');
+			return;
+		}
+
+		if (status === timeoutStatus || note.lacksRoom === true) {
+			this.#recordRoom('lacked-room');
+		}
+	}
+
+	#recordRoom(outcome: RootOutcome): void {
+		const {rootShare, clock, onLackOfRoomBelow} = this.#options;
 		if (this.#call.depth === 0) {
-			this.#options.rootShare?.record(this.#call.priority, outcome, this.#options.clock.now());
+			rootShare?.record(this.#call.priority, outcome, this.#startedAt, clock.now());
+			return;
+		}
+
+		if (outcome === 'lacked-room') {
+			onLackOfRoomBelow?.();
 		}
 	}
 
@@ -425,7 +448,7 @@
 		}
 
 		if (lackingRoomCodes.has(problem.code)) {
-			this.#recordRoot('lacked-room');
+			this.#recordRoom('lacked-room');
 		}
 
 		this.#end();
@@ -433,8 +456,10 @@
 	}
 }
 
-/** Answers of an upstream by which it says that it, or one that it called, had no room or no time. */
-const lackingRoomStatuses: ReadonlySet<number> = new Set([500, 503, 504]);
+const firstFailureStatus = 500;
+/** Answer of an upstream that had not enough time. */
+const timeoutStatus = 504;
+/** Failures for lack of room or of time. */
 const lackingRoomCodes: ReadonlySet<ProblemCode> = new Set(['overloaded', 'queue-timeout', 'deadline-exceeded']);
 const noTargetRetryMilliseconds = 1000;
 const throttledRetryMilliseconds = 500;
--- a/packages/node/src/_lib/call-types.ts
+++ b/packages/node/src/_lib/call-types.ts
@@ -36,6 +36,8 @@
 	readonly queuedMilliseconds?: number | undefined;
 	/** True if the request came to the upstream, which refused it unrun. */
 	readonly hasArrived?: boolean | undefined;
+	/** True if calls of the upstream lacked room lately, so that a failure of it is one of the graph. */
+	readonly lacksRoom?: boolean | undefined;
 };
 
 /** Takes the answer to a call. `onEnd`, `onProblem` or `onBroken` is called once, as the last of all. */
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -483,7 +483,7 @@
 		const waited = this.#startedAt === 0 ? 0 : (this.#admittedAt ?? now) - this.#startedAt;
 		const queuedMilliseconds = waited + (this.#running?.queuedMilliseconds ?? 0);
 		return {
-			level, hasArrived: this.#isRefusedByUpstream, retriesLeft, queuedMilliseconds,
+			level, hasArrived: this.#isRefusedByUpstream, lacksRoom: this.#gate.lacksRoomBelow(now), retriesLeft, queuedMilliseconds,
 		};
 	}
 
--- a/packages/node/src/_lib/peer-messages/index.ts
+++ b/packages/node/src/_lib/peer-messages/index.ts
@@ -176,16 +176,20 @@
 	return values.every(value => Number.isSafeInteger(value) && (value as number) >= 0);
 }
 
-/** Retries left, milliseconds queued, 1 if the upstream had the request, and the gate's level where it is known. */
-type WireNote = readonly [number, number, 0 | 1, ...number[]];
+/** Bits of the third number of a note. */
+const arrivedBit = 1;
+const lacksRoomBit = 2;
+
+/** Retries left, milliseconds queued, bits, and the gate's level where it is known. */
+type WireNote = readonly [number, number, number, ...number[]];
 
 /** Writes what rides back beside an answer. */
-export function writeNote({level, retriesLeft, queuedMilliseconds, hasArrived}: GateNote): WireNote {
+export function writeNote({level, retriesLeft, queuedMilliseconds, hasArrived, lacksRoom}: GateNote): WireNote {
 	const queued = Math.round(queuedMilliseconds ?? 0);
-	const arrived = hasArrived === true ? 1 : 0;
+	const bits = (hasArrived === true ? arrivedBit : 0) + (lacksRoom === true ? lacksRoomBit : 0);
 	return level === undefined
-		? [retriesLeft, queued, arrived]
-		: [retriesLeft, queued, arrived, level.inFlight, level.limit, level.queueLength, level.shedPriority];
+		? [retriesLeft, queued, bits]
+		: [retriesLeft, queued, bits, level.inFlight, level.limit, level.queueLength, level.shedPriority];
 }
 
 /**
@@ -198,11 +202,12 @@
 		throw new InvalidInputError('the note of a gate is malformed');
 	}
 
-	const [retriesLeft, queuedMilliseconds, arrived, inFlight, limit, queueLength, shedPriority] = value as [number, number, 0 | 1, number?, number?, number?, number?];
+	const [retriesLeft, queuedMilliseconds, bits, inFlight, limit, queueLength, shedPriority] = value as [number, number, number, number?, number?, number?, number?];
 	return {
 		retriesLeft,
 		queuedMilliseconds,
-		hasArrived: arrived === 1,
+		hasArrived: bits % lacksRoomBit === arrivedBit,
+		lacksRoom: bits >= lacksRoomBit,
 		level: inFlight === undefined || limit === undefined || queueLength === undefined || shedPriority === undefined
 			? undefined
 			: {
--- a/packages/node/src/_lib/peer-messages/test.ts
+++ b/packages/node/src/_lib/peer-messages/test.ts
@@ -62,13 +62,14 @@
 			retriesLeft: 2,
 			queuedMilliseconds: 31,
 			hasArrived: true,
+			lacksRoom: true,
 			level: {
 				inFlight: 1, limit: 4, queueLength: 2, shedPriority: 3,
 			},
 		};
 		expect(readNote(writeNote(note))).to.deep.equal(note);
 		expect(readNote(writeNote({retriesLeft: 0}))).to.deep.equal({
-			retriesLeft: 0, queuedMilliseconds: 0, hasArrived: false, level: undefined,
+			retriesLeft: 0, queuedMilliseconds: 0, hasArrived: false, lacksRoom: false, level: undefined,
 		});
 		expect(() => readNote('none')).to.throw(InvalidInputError);
 	});
--- a/packages/node/src/gate/index.ts
+++ b/packages/node/src/gate/index.ts
@@ -54,6 +54,8 @@
 };
 
 const tickMilliseconds = 10;
+/** Milliseconds for which a lack of room below explains a failure of the upstream. */
+const lackOfRoomMilliseconds = 1000;
 
 /** The gate of one node. */
 export class Gate implements CallRunner {
@@ -67,6 +69,7 @@
 	#ticker: Timer | undefined;
 	#weights: ReadonlyMap<TeamName, number> = new Map();
 	#isDraining = false;
+	#lackedRoomAt = Number.NEGATIVE_INFINITY;
 
 	constructor(readonly options: GateOptions) {
 		this.callInterface = options.callInterface ?? productCallInterface;
@@ -139,6 +142,16 @@
 		}
 	}
 
+	/** A call of the upstream failed for lack of room below. */
+	noteLackOfRoomBelow(): void {
+		this.#lackedRoomAt = this.options.clock.now();
+	}
+
+	/** True if calls of the upstream lacked room lately. */
+	lacksRoomBelow(now: number): boolean {
+		return now - this.#lackedRoomAt < lackOfRoomMilliseconds;
+	}
+
 	/** Sets the weight of each team for the fairness between teams. */
 	setTeamWeights(weights: ReadonlyMap<TeamName, number>): void {
 		this.#weights = weights;
--- a/packages/routing/src/root-share/index.ts
+++ b/packages/routing/src/root-share/index.ts
@@ -15,18 +15,26 @@
 /** How a request that was let in ended, as far as room is concerned. */
 export type RootOutcome = 'served' | 'lacked-room';
 
-/** Part of a share that one failure takes away. */
-const downStep = 0.15;
+/** Part of the requests that may lack room before shares are lowered. */
+const toleratedPart = 0.02;
+/** Milliseconds in which what was counted loses half of its weight. */
+const halfLifeMilliseconds = 2000;
+/** Smallest part of a share that is taken away at once. */
+const smallestCut = 0.3;
+/** Largest part of a share that is taken away at once. */
+const largestCut = 0.5;
 /** Part that one success right after a failure gives back. */
-const upStep = 0.002;
-/** Successes in a row after which one gives back twice that part, thrice after twice as many, and so on. */
-const quickeningSuccesses = 25;
+const upStep = 0.0003;
+/** Successes in a row after which one gives back twice that part, five times as much after twice as many, and so on by the square. */
+const quickeningSuccesses = 50;
 /** Smallest share, so that recovery is noticed. */
 const smallestShare = 0.05;
+/** Share that can't be lowered in earnest, so that the next more important one is. */
+const lowShare = 0.08;
 /** Milliseconds without a request after which a priority counts as unused. */
 const unusedMilliseconds = 2000;
 /** Milliseconds in which a share comes back to one without any news. */
-const restoreMilliseconds = 30_000;
+const restoreMilliseconds = 60_000;
 
 type PriorityShare = {
 	share: number;
@@ -38,6 +46,10 @@
 export class RootShare {
 	readonly #priorities: PriorityShare[] = [];
 	#successes = 0;
+	#recent = 0;
+	#recentFailures = 0;
+	#countedAt = 0;
+	#loweredAt = Number.NEGATIVE_INFINITY;
 
 	constructor() {
 		for (let priority = 0; priority <= lowestPriority; priority++) {
@@ -63,34 +75,59 @@
 		return this.#priorities.every((_state, priority) => this.share(priority, now) >= 1);
 	}
 
-	/** Takes note of how a request ended. */
-	record(priority: number, outcome: RootOutcome, now: number): void {
+	/**
+	Takes note of how a request ended. One that came in before the shares were last
+	lowered says nothing of the shares as they are now.
+	*/
+	record(priority: number, outcome: RootOutcome, admittedAt: number, now: number): void {
 		if (outcome === 'served') {
+			this.#count(outcome, now);
 			this.#successes++;
 			this.#raise(now);
 			return;
 		}
 
+		if (admittedAt < this.#loweredAt) {
+			return;
+		}
+
+		this.#count(outcome, now);
 		this.#successes = 0;
-		this.#lower(priority, now);
+		if (this.#recentFailures > 1 + (this.#recent * toleratedPart)) {
+			this.#lower(priority, now);
+		}
+	}
+
+	#count(outcome: RootOutcome, now: number): void {
+		const factor = 0.5 ** (Math.max(0, now - this.#countedAt) / halfLifeMilliseconds);
+		this.#countedAt = now;
+		this.#recent = (this.#recent * factor) + 1;
+		this.#recentFailures = (this.#recentFailures * factor) + (outcome === 'served' ? 0 : 1);
 	}
 
 	#lower(failed: number, now: number): void {
 		for (let priority = lowestPriority; priority >= failed; priority--) {
 			const state = this.#at(priority);
 			const share = this.share(priority, now);
-			if (now - state.askedAt < unusedMilliseconds && share > smallestShare) {
-				state.share = Math.max(smallestShare, share - downStep);
+			if (now - state.askedAt < unusedMilliseconds && share > lowShare) {
+				state.share = Math.max(smallestShare, share * (1 - this.#cut()));
 				state.changedAt = now;
+				this.#loweredAt = now;
+				this.#recent = 0;
+				this.#recentFailures = 0;
 				return;
 			}
 		}
 	}
 
+	#cut(): number {
+		return Math.min(largestCut, Math.max(smallestCut, this.#recentFailures / this.#recent));
+	}
+
 	#raise(now: number): void {
 		for (const [priority, state] of this.#priorities.entries()) {
 			if (state.share < 1) {
-				state.share = Math.min(1, this.share(priority, now) + (upStep * (1 + (this.#successes / quickeningSuccesses))));
+				state.share = Math.min(1, this.share(priority, now) + (upStep * (1 + ((this.#successes / quickeningSuccesses) ** 2))));
 				state.changedAt = now;
 				return;
 			}
