--- a/packages/control/src/replicated-log/index.ts
+++ b/packages/control/src/replicated-log/index.ts
@@ -45,7 +45,7 @@
 	| {readonly kind: 'not-leader'; readonly leader: MemberId | undefined}
 	| {readonly kind: 'members-refused'; readonly reason: MembersRefusal};
 
-const tickIntervalMilliseconds = 10;
+const tickIntervalMilliseconds = 20;
 const proposalTimeoutMilliseconds = 3000;
 const readTimeoutMilliseconds = 3000;
 const defaultSnapshotInterval = 2000;
--- a/packages/control/src/report-service/index.ts
+++ b/packages/control/src/report-service/index.ts
@@ -30,7 +30,7 @@
 const longestWaitMilliseconds = 5000;
 const quorumFreshnessMilliseconds = 1500;
 const largestDifference = 1000;
-const shareIntervalMilliseconds = 100;
+const shareIntervalMilliseconds = 250;
 const shareTimeoutMilliseconds = 1000;
 
 /** Answers the nodes' reports. */
