Give calls of upstreams the importance of the request that they belong to

So a call takes the priority, root and depth of the request that ends when it does, else the priority that most running requests have. It decides about nothing but importance.

Ruled out: a random running request (the eight calls of one chain would differ).

--- a/packages/node/src/_lib/call-table/index.ts
+++ b/packages/node/src/_lib/call-table/index.ts
@@ -68,14 +68,21 @@
 	}
 }
 
+/** Milliseconds by which a call may end before its request, as times are told in whole milliseconds. */
+const earliestMilliseconds = 4;
+/** Milliseconds by which a call may seem to end after its request, as it may wait to be read. */
+const latestMilliseconds = 16;
+
 /** The requests that run in one gate. */
 export class CallTable {
 	readonly #byToken = new Map<string, RunningRequest>();
 	readonly #byTrace = new Map<string, Set<RunningRequest>>();
+	readonly #running = new Set<RunningRequest>();
 
 	/** Adds a request; its token is not made where upstreams are never told it. */
 	add(context: CallContext, isMatched = true): RunningRequest {
 		const running = new RunningRequest(context, isMatched ? createContextToken() : '');
+		this.#running.add(running);
 		if (!isMatched) {
 			return running;
 		}
@@ -95,6 +102,7 @@
 	}
 
 	remove(running: RunningRequest): void {
+		this.#running.delete(running);
 		if (running.token === '') {
 			return;
 		}
@@ -112,6 +120,44 @@
 		}
 	}
 
+	/**
+	Finds the request that a call most probably belongs to, where upstreams pass nothing
+	on but the time that is left: the one that ends when the call does. It may be the
+	wrong one, so it must decide about nothing but importance.
+
+	@param deadline - Monotonic milliseconds at which the call ends, as it says itself.
+	*/
+	findByDeadline(deadline: number): RunningRequest | undefined {
+		let nearest: RunningRequest | undefined;
+		let smallest = Number.POSITIVE_INFINITY;
+		for (const running of this.#running) {
+			const lateness = deadline - running.context.deadline;
+			const distance = Math.abs(lateness);
+			if (lateness >= -earliestMilliseconds && lateness <= latestMilliseconds && distance < smallest) {
+				nearest = running;
+				smallest = distance;
+			}
+		}
+
+		return nearest;
+	}
+
+	/** The priority that most of the running requests have; the less important one of two that are as common. */
+	commonPriority(): number | undefined {
+		const counts = new Map<number, number>();
+		let common: number | undefined;
+		for (const {context: {priority}} of this.#running) {
+			const count = (counts.get(priority) ?? 0) + 1;
+			counts.set(priority, count);
+			const most = common === undefined ? 0 : counts.get(common)!;
+			if (common === undefined || count > most || (count === most && priority > common)) {
+				common = priority;
+			}
+		}
+
+		return common;
+	}
+
 	/**
 	Finds the request that a call belongs to. The token decides; a trace id does
 	only while all requests of that trace have the same root.
--- a/packages/node/src/_lib/caller-policy/index.ts
+++ b/packages/node/src/_lib/caller-policy/index.ts
@@ -5,13 +5,14 @@
 
 import type {IncomingMessage} from 'node:http';
 import {
-	highestPriority,
+	highestPriority, maximumCallDepth,
 	type Configuration, type Problem, type Route, type Team, type TeamName,
 } from '@fireflyglade/model';
 import {productCallInterface, type CallInterface} from '../../call-interface/index.js';
 import type {Fleet} from '../../types.js';
 import type {CallPolicy, CallTerms} from '../call-policy.js';
 import {checkCutOff, identifyCaller} from '../caller-identity/index.js';
+import type {CallTable} from '../call-table/index.js';
 import {KeyTable} from '../key-table/index.js';
 
 const staleKeysRetryMilliseconds = 500;
@@ -23,10 +24,13 @@
 export class CallerPolicy implements CallPolicy {
 	readonly #fleet: Fleet;
 	readonly #interface: CallInterface;
+	readonly #calls: CallTable | undefined;
 	#keys: KeyTable;
 	#teams: ReadonlyMap<TeamName, Team> = new Map();
 
-	constructor(fleet: Fleet, callInterface: CallInterface = productCallInterface) {
+	/** @param calls - The requests that run at the gate, where the upstream's calls come in here too. */
+	constructor(fleet: Fleet, callInterface: CallInterface = productCallInterface, calls?: CallTable) {
+		this.#calls = calls;
 		this.#fleet = fleet;
 		this.#interface = callInterface;
 		this.#keys = this.#createKeys(fleet.configuration());
@@ -58,21 +62,41 @@
 		}
 
 		const {traceparent} = request.headers;
-		const isDeeper = identity.kind === 'open' && this.#interface.openCallsContinueChains;
+		if (identity.kind === 'open' && this.#interface.openCallsContinueChains) {
+			return this.#deeperTerms(request, route, timeoutMilliseconds, now);
+		}
+
 		const team = identity.kind === 'team' ? this.#teams.get(identity.team) : undefined;
 		return {
 			kind: 'granted',
 			...(identity.kind === 'team' ? {team: identity.team} : {}),
 			...(identity.secret === undefined ? {} : {secret: identity.secret}),
-			priority: isDeeper ? highestPriority : team?.priority ?? route.priority,
+			priority: team?.priority ?? route.priority,
 			deadline: now + timeoutMilliseconds,
 			attempts: route.retryLimit + 1,
-			depth: isDeeper ? 1 : 0,
+			depth: 0,
 			...(typeof traceparent === 'string' ? {traceparent} : {}),
 			isCharged: team !== undefined && team.isUnlimited !== true,
 		};
 	}
 
+	/** A call of the upstream is as important as the request that it seems to belong to, else as most that run; it goes before new work of that priority. */
+	#deeperTerms(request: IncomingMessage, route: Route, timeoutMilliseconds: number, now: number): CallTerms {
+		const {traceparent} = request.headers;
+		const stated = Number(request.headers[this.#interface.timeoutField]);
+		const parent = Number.isFinite(stated) ? this.#calls?.findByDeadline(now + stated) : undefined;
+		return {
+			kind: 'granted',
+			...(parent === undefined ? {} : {rootId: parent.context.rootId}),
+			priority: parent?.context.priority ?? this.#calls?.commonPriority() ?? highestPriority,
+			deadline: now + timeoutMilliseconds,
+			attempts: route.retryLimit + 1,
+			depth: Math.min(maximumCallDepth, (parent?.context.depth ?? 0) + 1),
+			...(typeof traceparent === 'string' ? {traceparent} : {}),
+			isCharged: false,
+		};
+	}
+
 	#createKeys(configuration: Configuration): KeyTable {
 		return new KeyTable(configuration, id => this.#fleet.isKeyWithdrawn(id));
 	}
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -123,7 +123,7 @@
 			remoteGate: target => (this.#channelGates ?? this.#remoteGates).to(target),
 		};
 		const shared = {dependencies, attempts, counters: this.#counters};
-		this.#callers = new CallServer({...shared, policy: new CallerPolicy(dependencies.fleet, dependencies.callInterface)});
+		this.#callers = new CallServer({...shared, policy: new CallerPolicy(dependencies.fleet, dependencies.callInterface, this.#gate.calls)});
 		this.#egress = new CallServer({...shared, policy: new EgressPolicy(this.#gate.calls)});
 		this.#announcements = new AnnounceListener(clock, {
 			announced: upstream => {
