--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -15,7 +15,7 @@
 } from '@fireflyglade/model';
 import {
 	backoffDelay, lowerAttempts, splitAttempts,
-	type AttemptOutcome, type AttemptSplit, type EntryThrottle, type RetryBudgets, type RootOutcome, type RootShare, type Routing, type ThrottleKey,
+	type AttemptOutcome, type AttemptSplit, type EntryThrottle, type RetryBudgets, type RootOutcome, type RootRoute, type RootShare, type Routing, type ThrottleKey,
 } from '@fireflyglade/routing';
 import type {
 	AnswerFlow, AnswerHead, HeaderFields, RequestBody,
@@ -251,7 +251,11 @@
 	/** Requests of callers come in by their share; the parts of a chain that has begun always do. */
 	#isLetIn(): boolean {
 		const {rootShare, clock, random} = this.#options;
-		return rootShare === undefined || this.#call.depth > 0 || rootShare.admits(this.#call.priority, clock.now(), random);
+		return rootShare === undefined || this.#call.depth > 0 || rootShare.admits(this.#rootRoute(), clock.now(), random);
+	}
+
+	#rootRoute(): RootRoute {
+		return {id: this.#call.route.id, priority: this.#call.priority};
 	}
 
 	/** A chain that failed would ask for all its work again, which is spared while the graph lacks room. */
@@ -275,7 +279,7 @@
 	#recordRoom(outcome: RootOutcome): void {
 		const {rootShare, clock, onLackOfRoomBelow} = this.#options;
 		if (this.#call.depth === 0) {
-			rootShare?.record(this.#call.priority, outcome, this.#startedAt, clock.now());
+			rootShare?.record(this.#rootRoute(), outcome, this.#startedAt, clock.now());
 			return;
 		}
 
