--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -15,9 +15,9 @@
 	BodyBrokenError, selectRequestFields, writeProblem,
 	type RequestBody,
 } from '@fireflyglade/transport';
+import type {ChargeOutcome} from '@fireflyglade/rates';
 import {problemFieldsOf, productCallInterface, type CallInterface} from '../../call-interface/index.js';
 import type {FinishedRequest, NodeDependencies} from '../../dependencies.js';
-import type {ChargeOutcome} from '@fireflyglade/rates';
 import {CallAttempts, type CallAttemptsOptions, type EntryCall} from '../call-attempts/index.js';
 import {fingerprintJob, readCallFields} from '../call-fields/index.js';
 import type {CallPolicy, CallTerms} from '../call-policy.js';
--- a/packages/node/src/_lib/call-table/index.ts
+++ b/packages/node/src/_lib/call-table/index.ts
@@ -11,14 +11,12 @@
 
 /** A request that runs in the gate. */
 export class RunningRequest {
-	/** Empty where the upstream's calls are not matched. */
-	readonly token: string;
 	readonly #children = new Set<() => void>();
 	readonly #attempts: SharedAttempts;
 	#queuedMilliseconds = 0;
 
-	constructor(readonly context: CallContext, token: string) {
-		this.token = token;
+	/** @param token - Empty where the upstream's calls are not matched by it. */
+	constructor(readonly context: CallContext, readonly token: string) {
 		this.#attempts = new SharedAttempts(context.remainingAttempts);
 	}
 
--- a/packages/node/src/_lib/channel-gates/index.ts
+++ b/packages/node/src/_lib/channel-gates/index.ts
@@ -244,24 +244,6 @@
 		}
 	}
 
-	/** Takes the head of an answer, with its first bytes and its end where they came along. */
-	#takeHead(message: readonly unknown[]): boolean {
-		const [status, fields, note, bytes, isWhole] = message.slice(2) as [number, WireFields, unknown, (Uint8Array | null)?, 1?];
-		const headers = this.#reader.readFields(fields);
-		this.#isAnswered = true;
-		this.#receiver.onHead({status, headers}, this, readNote(note));
-		if (bytes !== undefined && bytes !== null) {
-			this.#receiver.onData(bytes);
-		}
-
-		if (isWhole === 1) {
-			this.#receiver.onEnd({});
-			return true;
-		}
-
-		return false;
-	}
-
 	pause(): void {
 		this.#isPaused = true;
 		this.#flow.pause();
@@ -288,4 +270,22 @@
 
 		void inquire({...this.#sent, isCancelled: () => this.isCancelled}, options);
 	}
+
+	/** Takes the head of an answer, with its first bytes and its end where they came along. */
+	#takeHead(message: readonly unknown[]): boolean {
+		const [status, fields, note, bytes, isWhole] = message.slice(2) as [number, WireFields, unknown, unknown, unknown];
+		const headers = this.#reader.readFields(fields);
+		this.#isAnswered = true;
+		this.#receiver.onHead({status, headers}, this, readNote(note));
+		if (bytes instanceof Uint8Array) {
+			this.#receiver.onData(bytes);
+		}
+
+		if (isWhole === 1) {
+			this.#receiver.onEnd({});
+			return true;
+		}
+
+		return false;
+	}
 }
--- a/packages/node/src/_lib/peer-messages/index.ts
+++ b/packages/node/src/_lib/peer-messages/index.ts
@@ -6,7 +6,9 @@
 number from then on, since a connection carries the same few all its life.
 */
 
-import {InvalidInputError, type RequestId, type ServiceName, type TeamName} from '@fireflyglade/model';
+import {
+	InvalidInputError, type RequestId, type ServiceName, type TeamName,
+} from '@fireflyglade/model';
 import type {HeaderFields} from '@fireflyglade/transport';
 import type {GateNote} from '../call-types.js';
 import type {JobClaimFields, PeerCall} from '../peer-fields/index.js';
--- a/packages/node/src/_lib/peer-messages/test.ts
+++ b/packages/node/src/_lib/peer-messages/test.ts
@@ -1,4 +1,6 @@
-import {InvalidInputError, type RequestId, type ServiceName, type TeamName} from '@fireflyglade/model';
+import {
+	InvalidInputError, type RequestId, type ServiceName, type TeamName,
+} from '@fireflyglade/model';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import type {PeerCall} from '../peer-fields/index.js';
@@ -48,7 +50,9 @@
 
 	it('gives a call back, also one whose root is another request', () => {
 		expect(readCall(writeCall(call))).to.deep.equal(call);
-		const deeper = {...call, rootId: 'other.7' as RequestId, team: undefined, idempotent: false};
+		const deeper = {
+			...call, rootId: 'other.7' as RequestId, team: undefined, idempotent: false,
+		};
 		expect(readCall(writeCall(deeper))).to.deep.equal(deeper);
 	});
 
--- a/packages/node/src/channel-listener/index.ts
+++ b/packages/node/src/channel-listener/index.ts
@@ -120,7 +120,7 @@
 	}
 
 	#run(number: number, message: readonly unknown[]): void {
-		const [text, traceparent, method, path, fields, body] = message.slice(2) as [unknown, string, string, string, WireFields, Uint8Array | null];
+		const [text, traceparent, method, path, fields, body] = message.slice(2) as [unknown, string, string, string, WireFields, unknown];
 		const headers = this.#reader.readList(fields);
 		const call = readCall(text);
 		const answer = new PeerCallAnswer(number, {connection: this.#connection(), writer: this.#writer}, () => {
@@ -136,8 +136,8 @@
 			method,
 			path,
 			headers,
-			body: body ?? undefined,
-			bodyLength: body?.length,
+			body: body instanceof Uint8Array ? body : undefined,
+			bodyLength: body instanceof Uint8Array ? body.length : undefined,
 		}, answer);
 		answer.running = running;
 	}
@@ -215,6 +215,14 @@
 		this.#ended();
 	}
 
+	/** The connection has room again. */
+	resumeAfterDrain(): void {
+		if (this.#isHeldBack) {
+			this.#isHeldBack = false;
+			this.flow?.resume();
+		}
+	}
+
 	/** The head if nothing has left or was sent after it. */
 	#unsentHead(): unknown[] | undefined {
 		if (this.#head !== undefined && this.#connection.flushes !== this.#headFlush) {
@@ -223,12 +231,4 @@
 
 		return this.#head;
 	}
-
-	/** The connection has room again. */
-	resumeAfterDrain(): void {
-		if (this.#isHeldBack) {
-			this.#isHeldBack = false;
-			this.flow?.resume();
-		}
-	}
 }
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -114,12 +114,12 @@
 			node: settings.node,
 			ownGate: this.#gate,
 			throttle: new EntryThrottle(),
-			...(dependencies.sharesRoots === true ? {
+			...(dependencies.sharesRoots === true && {
 				rootShare: new RootShare(),
 				onLackOfRoomBelow: () => {
 					this.#gate.noteLackOfRoomBelow();
 				},
-			} : {}),
+			}),
 			remoteGate: target => (this.#channelGates ?? this.#remoteGates).to(target),
 		};
 		const shared = {dependencies, attempts, counters: this.#counters};
--- a/packages/routing/src/root-share/test.ts
+++ b/packages/routing/src/root-share/test.ts
@@ -39,8 +39,8 @@
 
 		for (const [index, load] of loads.entries()) {
 			due[index] = due[index]! + (load.perSecond * stepMilliseconds / 1000);
-			while (due[index]! >= 1) {
-				due[index] = due[index]! - 1;
+			while (due[index] >= 1) {
+				due[index] -= 1;
 				offered[index] = offered[index]! + 1;
 				if (share !== undefined && !share.admits(load.route, now, random)) {
 					continue;
--- a/packages/transport/src/frame-connection/index.ts
+++ b/packages/transport/src/frame-connection/index.ts
@@ -240,7 +240,7 @@
 }
 
 function readLength(bytes: Uint8Array): number {
-	return ((bytes[0]! << 24) | (bytes[1]! << 16) | (bytes[2]! << 8) | bytes[3]!) >>> 0;
+	return (((((bytes[0]! * 256) + bytes[1]!) * 256) + bytes[2]!) * 256) + bytes[3]!;
 }
 
 function flushConnection(connection: FrameConnection): void {
@@ -248,8 +248,8 @@
 }
 
 /** Packs messages one behind the other, each behind its length. */
-function packFrames(messages: ReadonlyArray<readonly unknown[]>): Buffer {
-	const parts: Buffer[] = [];
+function packFrames(messages: ReadonlyArray<readonly unknown[]>): Uint8Array {
+	const parts: Uint8Array[] = [];
 	for (const message of messages) {
 		const packed = packr.pack(message);
 		const length = Buffer.allocUnsafe(lengthBytes);
--- a/packages/transport/src/http-sender/index.ts
+++ b/packages/transport/src/http-sender/index.ts
@@ -7,6 +7,7 @@
 */
 
 import {Readable} from 'node:stream';
+import type {ConnectionOptions} from 'node:tls';
 import {FireflygladeError} from '@fireflyglade/model';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
 import type {
@@ -90,6 +91,16 @@
 		return exchange;
 	}
 
+	/** Lets requests that run finish, then closes the connections. */
+	async close(): Promise<void> {
+		await this.#pool.close();
+	}
+
+	/** Breaks off all requests and closes the connections. */
+	async destroy(): Promise<void> {
+		await this.#pool.destroy();
+	}
+
 	/**
 	Notes when a connection breaks, before the client library hears of it: the library
 	takes a reset for the end of an answer that has no length.
@@ -111,19 +122,9 @@
 			});
 		};
 	}
-
-	/** Lets requests that run finish, then closes the connections. */
-	async close(): Promise<void> {
-		await this.#pool.close();
-	}
-
-	/** Breaks off all requests and closes the connections. */
-	async destroy(): Promise<void> {
-		await this.#pool.destroy();
-	}
 }
 
-function secureConnect(mutualTls: MutualTlsCredentials | undefined): {readonly ca?: Buffer; readonly cert?: Buffer; readonly key?: Buffer} {
+function secureConnect(mutualTls: MutualTlsCredentials | undefined): buildConnector.BuildOptions & Pick<ConnectionOptions, 'ca' | 'cert' | 'key'> {
 	if (mutualTls === undefined) {
 		return {};
 	}
