--- a/packages/node/src/channel-listener/index.ts
+++ b/packages/node/src/channel-listener/index.ts
@@ -120,9 +120,9 @@
 	}
 
 	#run(number: number, message: readonly unknown[]): void {
-		const [text, traceparent, method, path, fields, body] = message.slice(2) as [unknown, string, string, string, WireFields, unknown];
+		const [described, traceparent, method, path, fields, body] = message.slice(2) as [unknown, string, string, string, WireFields, unknown];
 		const headers = this.#reader.readList(fields);
-		const call = readCall(text);
+		const call = readCall(described);
 		const answer = new PeerCallAnswer(number, {connection: this.#connection(), writer: this.#writer}, () => {
 			this.#calls.delete(number);
 		});
