Close connections of upstreams that bring bytes of no answer without end

Callers saw: a call whose upstream sends a reason phrase, empty lines, interim heads, spaces before a value, an extension or the length of a chunk without end got no answer before its deadline, and the node read on as fast as it could: 16 to 560 MiB in the one second of a trial with a raw TCP stand-in (processor time 1.0 to 1.3 s, with the stand-in in the same process). Empty lines after a whole answer were read for ever, with no call that could end them.

Cause: undici bounds header fields by maxHeaderSize, but not what the parser passes over. The class: a bound on what is kept, none on what is read.

Ruled out by the same trial: names, values and fields without end, trailers, bytes after a whole answer and bytes that are no HTTP end the connection already (0.1 to 0.2 MiB).

Without the check 10 of the 18 new tests fail (time-out); with it all pass.

--- /dev/null
+++ b/packages/transport/src/_lib/answer-bytes/test.ts
@@ -0,0 +1,186 @@
+import {once} from 'node:events';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {expect} from 'chai';
+import {HttpSender} from '../../http-sender/index.js';
+import {EndlessAnswerError} from './index.js';
+
+type Ended = {readonly status?: number; readonly body: string; readonly cause?: Error};
+
+/** What an upstream sends once, and then again and again. */
+type Endless = {readonly start: string; readonly piece: string};
+
+const chunkedHead = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+const long = 'x'.repeat(65_536);
+const pieceBytes = 65_536;
+
+const endlessBeforeTheEnd: Readonly<Record<string, Endless>> = {
+	'a reason phrase': {start: 'HTTP/1.1 200 ', piece: long},
+	'empty lines before the head': {start: '', piece: '\r\n'},
+	'a name of a field': {start: 'HTTP/1.1 200 OK\r\n', piece: long},
+	'a value of a field': {start: 'HTTP/1.1 200 OK\r\na: ', piece: long},
+	'spaces before a value': {start: 'HTTP/1.1 200 OK\r\na:', piece: ' '},
+	fields: {start: 'HTTP/1.1 200 OK\r\n', piece: 'a: b\r\n'},
+	'interim heads': {start: '', piece: 'HTTP/1.1 102 Processing\r\n\r\n'},
+	'interim heads with fields': {start: '', piece: 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n'},
+	'an extension of a chunk': {start: `${chunkedHead}5;a=`, piece: long},
+	'chunks that are extension for the most part': {start: chunkedHead, piece: `1;${long}\r\nx\r\n`},
+	'a length of a chunk': {start: chunkedHead, piece: '0'},
+	trailers: {start: `${chunkedHead}1\r\nx\r\n0\r\n`, piece: 'a: b\r\n'},
+	'bytes that are no HTTP': {start: '', piece: long},
+};
+
+const endlessAfterTheEnd: Readonly<Record<string, Endless>> = {
+	bytes: {start: 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok', piece: long},
+	'empty lines': {start: 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok', piece: '\r\n'},
+};
+
+/** Writes without end, as fast as the other side reads. */
+function writeEndlessly(socket: Socket, {start, piece}: Endless): void {
+	const bytes = Buffer.from(piece.repeat(Math.ceil(pieceBytes / piece.length)));
+	const writeOn = (): void => {
+		if (!socket.destroyed) {
+			socket.write(bytes, writeOn);
+		}
+	};
+
+	socket.write(start, writeOn);
+}
+
+describe('ReadWatch', () => {
+	let server: Server;
+	let sender: HttpSender;
+	const upstream = {
+		connections: [] as Socket[],
+		answer(_socket: Socket): void {
+			// Each test brings its own.
+		},
+	};
+
+	beforeEach(async () => {
+		upstream.connections = [];
+		server = createServer(socket => {
+			upstream.connections.push(socket);
+			socket.on('error', () => {
+				// The sender closes connections in the middle of an answer.
+			});
+			socket.on('data', () => {
+				upstream.answer(socket);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		sender = new HttpSender(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, {connections: 1});
+	});
+
+	afterEach(async () => {
+		await sender.destroy();
+		for (const connection of upstream.connections) {
+			connection.destroy();
+		}
+
+		server.close();
+	});
+
+	const exchange = async (): Promise<Ended> => new Promise(resolve => {
+		let status: number | undefined;
+		let body = '';
+		sender.send({
+			method: 'GET', path: '/', headers: [], body: undefined,
+		}, {
+			onHead(head) {
+				status = head.status;
+			},
+			onData(chunk) {
+				body += Buffer.from(chunk).toString();
+			},
+			onEnd() {
+				resolve({...(status === undefined ? {} : {status}), body});
+			},
+			onFailure({cause}) {
+				resolve({...(status === undefined ? {} : {status}), body, cause});
+			},
+		});
+	});
+
+	const expectNextServed = async (): Promise<void> => {
+		upstream.answer = socket => {
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnext');
+		};
+
+		expect(await exchange()).to.deep.equal({status: 200, body: 'next'});
+	};
+
+	for (const [name, endless] of Object.entries(endlessBeforeTheEnd)) {
+		it(`closes a connection that brings ${name} without end, and serves the next request`, async () => {
+			upstream.answer = socket => {
+				writeEndlessly(socket, endless);
+			};
+
+			const ended = await exchange();
+			expect(ended.cause).to.be.instanceOf(Error);
+			await waitForClose(upstream.connections[0]!);
+			await expectNextServed();
+		});
+	}
+
+	for (const [name, endless] of Object.entries(endlessAfterTheEnd)) {
+		it(`closes a connection that brings ${name} without end after a whole answer`, async () => {
+			upstream.answer = socket => {
+				writeEndlessly(socket, endless);
+			};
+
+			expect(await exchange()).to.deep.equal({status: 200, body: 'ok'});
+			await waitForClose(upstream.connections[0]!);
+			await expectNextServed();
+		});
+	}
+
+	it('names the cause', async () => {
+		upstream.answer = socket => {
+			writeEndlessly(socket, {start: 'HTTP/1.1 200 ', piece: long});
+		};
+
+		const ended = await exchange();
+		expect(ended.cause).to.be.instanceOf(EndlessAnswerError);
+	});
+
+	it('lets a large answer in the smallest chunks pass', async () => {
+		const count = 400_000;
+		upstream.answer = socket => {
+			socket.write(`${chunkedHead}${'1\r\nx\r\n'.repeat(count)}0\r\n\r\n`);
+		};
+
+		const {body, cause} = await exchange();
+		expect(cause).to.equal(undefined);
+		expect(body).to.have.length(count);
+	});
+
+	it('lets many answers pass on one connection, each with a large head', async () => {
+		const field = `a: ${'y'.repeat(60_000)}`;
+		upstream.answer = socket => {
+			socket.write(`HTTP/1.1 200 OK\r\n${field}\r\ncontent-length: 1\r\n\r\nz`);
+		};
+
+		for (let index = 0; index < 10; index++) {
+			const {body} = await exchange();
+			expect(body).to.equal('z');
+		}
+
+		expect(upstream.connections).to.have.length(1);
+	});
+});
+
+async function waitForClose(socket: Socket): Promise<void> {
+	await new Promise<void>(resolve => {
+		if (socket.closed) {
+			resolve();
+			return;
+		}
+
+		socket.once('close', () => {
+			resolve();
+		});
+	});
+}
--- a/packages/transport/src/http-sender/index.ts
+++ b/packages/transport/src/http-sender/index.ts
@@ -10,6 +10,7 @@
 import type {ConnectionOptions} from 'node:tls';
 import {FireflygladeError} from '@fireflyglade/model';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
+import {ReadWatch, type ConnectionBytes} from '../_lib/answer-bytes/index.js';
 import type {
 	AnswerReceiver, MutualTlsCredentials, OutgoingRequest, RunningSend,
 } from '../http-types/index.js';
@@ -54,6 +55,7 @@
 /** Sends requests to one origin. */
 export class HttpSender {
 	readonly #pool: Pool;
+	readonly #reads = new ReadWatch();
 	/** True while a connection tells that it broke. */
 	#isBreaking = false;
 
@@ -71,7 +73,7 @@
 
 	/** Sends a request; what comes of it goes to `receiver`. */
 	send(request: OutgoingRequest, receiver: AnswerReceiver): RunningSend {
-		const exchange = new Exchange(receiver, () => this.#isBreaking);
+		const exchange = new Exchange(receiver, () => this.#isBreaking, this.#reads);
 		if (request.body instanceof Readable && request.bodyLength !== undefined) {
 			request.headers.push('content-length', String(request.bodyLength));
 		}
@@ -110,6 +112,7 @@
 			connector(options, (...result) => {
 				const [error, socket] = result;
 				if (error === null) {
+					this.#reads.watch(socket);
 					socket.on('error', () => {
 						this.#isBreaking = true;
 						process.nextTick(() => {
@@ -135,12 +138,16 @@
 class Exchange implements Dispatcher.DispatchHandler, RunningSend {
 	readonly #receiver: AnswerReceiver;
 	readonly #isConnectionBreaking: () => boolean;
+	readonly #reads: ReadWatch;
+	/** The connection that brings the answer. */
+	#connection: ConnectionBytes | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
 	#begun = false;
 	#answered = false;
 	#done = false;
 
-	constructor(receiver: AnswerReceiver, isConnectionBreaking: () => boolean) {
+	constructor(receiver: AnswerReceiver, isConnectionBreaking: () => boolean, reads: ReadWatch) {
+		this.#reads = reads;
 		this.#receiver = receiver;
 		this.#isConnectionBreaking = isConnectionBreaking;
 	}
@@ -175,17 +182,20 @@
 			return;
 		}
 
+		this.#connection = this.#reads.current;
 		this.#answered = true;
 		this.#receiver.onHead({status, headers}, controller);
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		if (!this.#done) {
+			this.#connection?.recordBody(chunk.byteLength);
 			this.#receiver.onData(chunk);
 		}
 	}
 
 	onResponseEnd(_controller: Dispatcher.DispatchController, trailers: Record<string, string | string[] | undefined>): void {
+		this.#connection?.recordEnd();
 		if (this.#done) {
 			return;
 		}
