Bound the rest of an answer that is not passed on, and log lost answers

Callers saw: an idempotent call whose upstream answered 500 or 503 with a body that does not end, fast or bit by bit, was not tried elsewhere: the entry node read the body on, for the sake of the connection, until the deadline. And at the gate the body of a refusal ("not run") without an end was read for ever: the call had ended, so no deadline was left to close the connection.

Cause: the rest of an answer that nobody gets was read to its end without a bound.

What an upstream owed and did not bring whole is told to `onAnswerLost` with its cause, and the platform's program logs it ("answer lost"); before, the cause of a failed attempt was in no log.

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -24,6 +24,7 @@
 	CallReceiver, CallRunner, GateCall, GateNote, RunningCall,
 } from '../call-types.js';
 import type {CallInterface} from '../../call-interface/index.js';
+import {PassedAnswer} from '../passed-answer/index.js';
 import type {JobClaimFields} from '../peer-fields/index.js';
 import {attemptId} from '../request-ids/index.js';
 import {createTraceparent} from '../trace-context/index.js';
@@ -106,7 +107,8 @@
 	#hasArrived = false;
 	#isAnswering = false;
 	#deadlineTimer: Timer | undefined;
-	#isDiscarding = false;
+	/** The failure of an upstream that is not passed on, as another one is tried. */
+	#failure: PassedAnswer | undefined;
 	#isDone = false;
 	/** Monotonic milliseconds at which the call came in. */
 	#startedAt = 0;
@@ -187,8 +189,10 @@
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
 		this.#remaining = lowerAttempts(this.#split, {kind: 'ran', unspent: note.retriesLeft});
 		if (retryableStatuses.has(head.status) && this.#call.route.idempotent && this.#hasRoomBelow() && this.#takeRetry()) {
-			this.#isDiscarding = true;
 			this.#mayHaveRun = true;
+			this.#failure = new PassedAnswer(this.#options.clock, () => {
+				this.#leaveFailure();
+			});
 			return;
 		}
 
@@ -198,16 +202,18 @@
 	}
 
 	onData(chunk: Uint8Array): void {
-		if (!this.#isDiscarding) {
+		if (this.#failure === undefined) {
 			this.#receiver.onData(chunk);
+			return;
 		}
+
+		this.#failure.take(chunk.byteLength);
 	}
 
 	onEnd(trailers: HeaderFields): void {
-		if (this.#isDiscarding) {
-			this.#isDiscarding = false;
+		if (this.#failure !== undefined) {
 			this.#endAttempt({kind: 'failed'});
-			this.#retryLater();
+			this.#retryAfterFailure(this.#failure);
 			return;
 		}
 
@@ -238,9 +244,8 @@
 
 	onBroken(): void {
 		this.#endAttempt({kind: 'failed'});
-		if (this.#isDiscarding) {
-			this.#isDiscarding = false;
-			this.#retryLater();
+		if (this.#failure !== undefined) {
+			this.#retryAfterFailure(this.#failure);
 			return;
 		}
 
@@ -248,6 +253,21 @@
 		this.#receiver.onBroken();
 	}
 
+	/** A failure goes on without end: its upstream is left, and another one is tried. */
+	#leaveFailure(): void {
+		const running = this.#running;
+		this.#failure = undefined;
+		this.#endAttempt({kind: 'failed'});
+		running?.cancel();
+		this.#retryLater();
+	}
+
+	#retryAfterFailure(failure: PassedAnswer): void {
+		failure.end();
+		this.#failure = undefined;
+		this.#retryLater();
+	}
+
 	/** Requests of callers come in by their share; the parts of a chain that has begun always do. */
 	#isLetIn(): boolean {
 		const {rootShare, clock, random} = this.#options;
@@ -423,6 +443,7 @@
 
 	#end(): void {
 		this.#isDone = true;
+		this.#failure?.end();
 		this.#deadlineTimer?.cancel();
 	}
 
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -20,6 +20,7 @@
 	CallReceiver, GateCall, GateNote, RunningCall,
 } from '../call-types.js';
 import {ForeignAnswerError, judgeAnswer} from '../judge-answer/index.js';
+import {PassedAnswer} from '../passed-answer/index.js';
 import {drainingProblem, failureProblem, refusalProblem} from '../gate-problems/index.js';
 import {AnswerRecorder, replayAnswer, silentReceiver} from '../stored-answer/index.js';
 import {createTraceparent} from '../trace-context/index.js';
@@ -47,8 +48,8 @@
 	#deadlineTimer: Timer | undefined;
 	#startedAt = 0;
 	#admittedAt: number | undefined;
-	/** True if the upstream refused the request unrun. */
-	#isRefusedByUpstream = false;
+	/** The answer by which the upstream refused the request unrun. */
+	#refusal: PassedAnswer | undefined;
 
 	constructor(readonly call: GateCall, receiver: CallReceiver, gate: Gate) {
 		this.#receiver = receiver;
@@ -153,7 +154,9 @@
 		}
 
 		if (verdict === 'not-run') {
-			this.#isRefusedByUpstream = true;
+			this.#refusal = new PassedAnswer(this.#gate.options.clock, () => {
+				this.#send?.cancel();
+			});
 			flow.resume();
 			this.#endUnsent('refused', {
 				code: 'overloaded', outcome: 'not-run', detail: 'the upstream refused the request', retryAfterMilliseconds: upstreamRefusalRetryMilliseconds,
@@ -170,6 +173,7 @@
 
 	onData(chunk: Uint8Array): void {
 		if (this.#stage !== 'answering') {
+			this.#refusal?.take(chunk.byteLength);
 			return;
 		}
 
@@ -178,6 +182,7 @@
 	}
 
 	onEnd(trailers: HeaderFields): void {
+		this.#refusal?.end();
 		if (this.#stage !== 'answering') {
 			return;
 		}
@@ -195,6 +200,7 @@
 	}
 
 	onFailure(failure: SendFailure): void {
+		this.#refusal?.end();
 		if (this.#stage === 'ended') {
 			return;
 		}
@@ -206,6 +212,9 @@
 		}
 
 		const wasAnswering = this.#stage === 'answering';
+		this.#gate.options.onAnswerLost?.({
+			requestId: this.call.context.requestId, upstream: this.#upstream!.id, answered: wasAnswering, cause: failure.cause,
+		});
 		this.#finish('failure', {kind: 'unknown'});
 		if (wasAnswering) {
 			this.#receiver.onBroken();
@@ -483,7 +492,7 @@
 		const waited = this.#startedAt === 0 ? 0 : (this.#admittedAt ?? now) - this.#startedAt;
 		const queuedMilliseconds = waited + (this.#running?.queuedMilliseconds ?? 0);
 		return {
-			level, hasArrived: this.#isRefusedByUpstream, lacksRoom: this.#gate.lacksRoomBelow(now), retriesLeft, queuedMilliseconds,
+			level, hasArrived: this.#refusal !== undefined, lacksRoom: this.#gate.lacksRoomBelow(now), retriesLeft, queuedMilliseconds,
 		};
 	}
 
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -71,6 +71,15 @@
 	readonly problem?: ProblemCode;
 };
 
+/** An answer that an upstream began or owed, and that did not come whole. */
+export type LostAnswer = {
+	readonly requestId: RequestId;
+	readonly upstream: UpstreamId;
+	/** True if its head had come. */
+	readonly answered: boolean;
+	readonly cause: Error;
+};
+
 /** Watches what a node does. Every method must return quickly. */
 export type NodeObserver = {
 	requestFinished(request: FinishedRequest): void;
@@ -105,6 +114,8 @@
 	readonly claims: JobClaims;
 	readonly outcomes: OutcomeAsker;
 	readonly observer: NodeObserver;
+	/** Told of each answer of the upstream that was lost, for the log. */
+	readonly onAnswerLost?: (lost: LostAnswer) => void;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
--- a/packages/node/src/gate/index.ts
+++ b/packages/node/src/gate/index.ts
@@ -11,7 +11,7 @@
 } from '@fireflyglade/model';
 import {HttpSender, type OutcomeAnswer, type OutcomeQuestion} from '@fireflyglade/transport';
 import {productCallInterface, type CallInterface} from '../call-interface/index.js';
-import type {JobClaims, NodeObserver} from '../dependencies.js';
+import type {JobClaims, LostAnswer, NodeObserver} from '../dependencies.js';
 import {CallTable} from '../_lib/call-table/index.js';
 import type {
 	CallReceiver, CallRunner, GateCall, RunningCall,
@@ -41,6 +41,8 @@
 	readonly createAdmission: (options: AdmissionOptions) => Admission;
 	/** The interface that the upstream speaks; the product's own if absent. */
 	readonly callInterface?: CallInterface;
+	/** Told of each answer of the upstream that was lost. */
+	readonly onAnswerLost?: (lost: LostAnswer) => void;
 	/** Called if the upstream refuses connections. */
 	readonly onUnreachable?: () => void;
 };
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -19,7 +19,7 @@
 import type {CallInterface} from '../call-interface/index.js';
 import {KeyFreshness} from '../_lib/key-freshness/index.js';
 import {SuspensionClock} from '../_lib/suspension-clock/index.js';
-import type {FinishedRequest, NodeObserver} from '../dependencies.js';
+import type {FinishedRequest, LostAnswer, NodeObserver} from '../dependencies.js';
 import {ControlClaims} from '../control-claims/index.js';
 import {createNode, type NodeAddresses, type RunningNode} from '../create-node/index.js';
 import {FleetRuntime} from '../fleet-runtime/index.js';
@@ -49,6 +49,8 @@
 	readonly onNote?: (event: string, details: Fields) => void;
 	/** Takes each request that has ended, for the log. */
 	readonly onFinished?: (request: FinishedRequest) => void;
+	/** Told of each answer of the upstream that was lost, for the log. */
+	readonly onAnswerLost?: (lost: LostAnswer) => void;
 	/** Makes the concurrency limit of an upstream; an adaptive one if absent. */
 	readonly createLimit?: (options: AdmissionOptions) => ConcurrencyLimit;
 	/** What teams may get beyond rate and burst, the same at every node; nothing if absent. */
@@ -126,6 +128,7 @@
 			ask: async (address, question) => client.call(outcomeMethod, address, question, {timeoutMilliseconds: outcomeTimeoutMilliseconds}),
 		},
 		observer: options.onFinished === undefined ? observer : withFinished(observer, options.onFinished),
+		...(options.onAnswerLost === undefined ? {} : {onAnswerLost: options.onAnswerLost}),
 		clock,
 		random: new SeededRandom(randomSeed),
 	});
