Keep an answer stopped while either the connection or the caller is full

A node held more and more of an answer for a caller that does not read, over a connection that others keep busy: when the shared connection had room again, the gate let every answer flow that it had held back, also one whose entry node had sent `pause` meanwhile. Each such moment brought a chunk to an entry node that had no room for it. The other way round `resume` from the entry node let an answer flow into a connection without room.

Cause: two reasons to stop, kept as one. Now each is kept, and the answer flows when neither holds. Looked for elsewhere: `AnswerWriter` and `ChannelCall` have one reason each.

--- a/packages/node/src/channel-listener/index.ts
+++ b/packages/node/src/channel-listener/index.ts
@@ -97,12 +97,12 @@
 			}
 
 			case kinds.pause: {
-				this.#calls.get(number)?.flow?.pause();
+				this.#calls.get(number)?.pause();
 				return;
 			}
 
 			case kinds.resume: {
-				this.#calls.get(number)?.flow?.resume();
+				this.#calls.get(number)?.resume();
 				return;
 			}
 
@@ -155,12 +155,15 @@
 /** Passes one answer on to the entry node. */
 class PeerCallAnswer implements CallReceiver {
 	running: RunningCall | undefined;
-	flow: AnswerFlow | undefined;
+	#flow: AnswerFlow | undefined;
 	readonly #number: number;
 	readonly #connection: FrameConnection;
 	readonly #writer: FieldWriter;
 	readonly #ended: () => void;
+	/** True while the connection has no room. */
 	#isHeldBack = false;
+	/** True while the entry node has no room. */
+	#isPaused = false;
 	/** The head while it has not left, so that the first bytes and the end can go with it. */
 	#head: unknown[] | undefined;
 	#headFlush = 0;
@@ -173,7 +176,7 @@
 	}
 
 	onHead(head: AnswerHead, flow: AnswerFlow, note: GateNote): void {
-		this.flow = flow;
+		this.#flow = flow;
 		this.#head = [kinds.head, this.#number, head.status, this.#writer.writeFields(selectAnswerFields(head.headers)), writeNote(note)];
 		this.#headFlush = this.#connection.flushes;
 		this.#connection.send(this.#head);
@@ -189,7 +192,7 @@
 		this.#head = undefined;
 		if (!this.#connection.send([kinds.data, this.#number, Buffer.from(chunk)])) {
 			this.#isHeldBack = true;
-			this.flow?.pause();
+			this.#flow?.pause();
 		}
 	}
 
@@ -215,11 +218,29 @@
 		this.#ended();
 	}
 
+	/** The entry node has no room for more of the answer. */
+	pause(): void {
+		this.#isPaused = true;
+		this.#flow?.pause();
+	}
+
+	/** The entry node has room again. */
+	resume(): void {
+		this.#isPaused = false;
+		if (!this.#isHeldBack) {
+			this.#flow?.resume();
+		}
+	}
+
 	/** The connection has room again. */
 	resumeAfterDrain(): void {
-		if (this.#isHeldBack) {
-			this.#isHeldBack = false;
-			this.flow?.resume();
+		if (!this.#isHeldBack) {
+			return;
+		}
+
+		this.#isHeldBack = false;
+		if (!this.#isPaused) {
+			this.#flow?.resume();
 		}
 	}
 
