Bound requests that do not end at every HTTP listener

Seen by tests: a heartbeat or a configuration whose body never ends was read into memory for ever; a request that had been answered early was read on for ever; a caller that sent its small body bit by bit held its exchange past every deadline, as the deadline began only with the first attempt; and nothing bounded how long one of the hundred connections for heartbeats could be held.

The class: time and size of a request were bounded where an attempt runs, and not while the request comes in.

Node.js bounds heads, chunk extensions and trailers of callers itself (trial with a raw connection). Not bounded still: empty lines on a connection without a request, and spaces before a value until the time for heads is over.

--- a/packages/model/src/problem/index.ts
+++ b/packages/model/src/problem/index.ts
@@ -31,6 +31,7 @@
 	| 'job-mismatch'
 	| 'job-answer-expired'
 	| 'bad-request'
+	| 'request-timeout'
 	| 'header-too-large'
 	| 'body-too-large'
 	| 'path-too-long'
@@ -61,6 +62,7 @@
 	'job-mismatch': 409,
 	'job-answer-expired': 409,
 	'bad-request': 400,
+	'request-timeout': 408,
 	'header-too-large': 431,
 	'body-too-large': 413,
 	'path-too-long': 414,
@@ -80,7 +82,7 @@
 };
 
 /** Statuses that say that the work did not run and never will. */
-const notRunStatuses: ReadonlySet<number> = new Set([429, 503]);
+const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 const badGatewayStatus = 502;
 
 /** HTTP status of a problem; one that says that the work did not run is given only where that is certain. */
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -230,9 +230,16 @@
 		void this.#serveBody(admitted, framing);
 	}
 
+	/** Takes the body in until the deadline; a caller may send it bit by bit. */
 	async #serveBody(admitted: Admitted, framing: BodyFraming): Promise<void> {
+		const {clock} = this.#options.dependencies;
+		const timer = clock.startTimer(admitted.terms.deadline - clock.now(), () => {
+			admitted.response.shouldKeepAlive = false;
+			admitted.answer.onProblem({code: 'deadline-exceeded', outcome: 'not-run', detail: 'the body did not come before the deadline'});
+		});
 		try {
 			const body = await this.#takeBody(admitted, framing);
+			timer.cancel();
 			if (body.kind === 'refused') {
 				admitted.answer.onProblem(body.problem);
 				return;
@@ -240,11 +247,16 @@
 
 			this.#carry(admitted, body.body);
 		} catch (error) {
+			timer.cancel();
 			this.#fail(admitted, error as Error);
 		}
 	}
 
 	#fail(admitted: Admitted, error: Error): void {
+		if (admitted.answer.isEnded) {
+			return;
+		}
+
 		if (error instanceof BodyBrokenError) {
 			admitted.answer.cancel();
 			admitted.response.destroy();
@@ -283,7 +295,7 @@
 
 	#carry(admitted: Admitted, body: RequestBody): void {
 		const {answer, response, terms} = admitted;
-		if (response.destroyed) {
+		if (response.destroyed || answer.isEnded) {
 			answer.cancel();
 			return;
 		}
--- a/packages/node/src/_lib/call-server/test.ts
+++ b/packages/node/src/_lib/call-server/test.ts
@@ -24,6 +24,7 @@
 		fleet = new TestFleet([
 			createRoute('GET', '/orders/:id'),
 			createRoute('POST', '/orders'),
+			createRoute('POST', '/hurried', {timeoutMilliseconds: 200}),
 			createRoute('GET', '/blue', {teams: [blue]}),
 			createRoute('GET', '/fresh', {whenCutOff: 'refuse'}),
 			createRoute('GET', '/open', {open: true}),
@@ -197,4 +198,14 @@
 		const answer = await exchangeRaw(small.addresses.callers, 'GET /open HTTP/1.1\r\nHost: a\r\n\r\n');
 		expect(answer).to.match(/^HTTP\/1\.1 503 /);
 	});
+
+	it('answers a caller whose body does not come before the deadline, and runs nothing', async () => {
+		for (const framing of ['Content-Length: 100', 'Transfer-Encoding: chunked']) {
+			const answer = await exchangeRaw(node.addresses.callers, `POST /hurried HTTP/1.1\r\nHost: a\r\nAuthorization: ${authorization}\r\nConnection: close\r\n${framing}\r\n\r\n`);
+			expect(answer).to.match(/^HTTP\/1\.1 504 /);
+		}
+
+		expect(upstream.received.filter(({body}) => body !== '')).to.have.length(0);
+		expect(node.inFlight()).to.equal(0);
+	});
 });
--- a/packages/node/src/announce-listener/index.ts
+++ b/packages/node/src/announce-listener/index.ts
@@ -6,7 +6,9 @@
 */
 
 import type {RequestListener} from 'node:http';
-import {H3, HTTPError, type H3Event} from 'h3';
+import {
+	bodyLimit, H3, HTTPError, type H3Event,
+} from 'h3';
 import {toNodeHandler} from 'h3/node';
 import {
 	announcementTimeoutMilliseconds, createServiceName, InvalidInputError,
@@ -22,6 +24,7 @@
 	left(): void;
 };
 
+const largestAnnouncementBytes = 65_536;
 const maximumSlots = 100_000;
 const badRequestStatus = 400;
 
@@ -38,6 +41,7 @@
 		this.#handlers = handlers;
 		this.#timeoutMilliseconds = timeoutMilliseconds;
 		const router = new H3({silent: true});
+		router.use(bodyLimit(largestAnnouncementBytes));
 		router.post('/announce', async event => this.#announce(event));
 		router.delete('/announce', () => this.#leave());
 		this.listener = toNodeHandler(router);
@@ -78,6 +82,10 @@
 	try {
 		return parseAnnouncement(await event.req.json());
 	} catch (error) {
+		if (HTTPError.isError(error)) {
+			throw error;
+		}
+
 		const message = error instanceof InvalidInputError ? error.message : 'the announcement is not JSON';
 		throw new HTTPError({status: badRequestStatus, message, body: {code: 'bad-request', detail: message}});
 	}
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -58,7 +58,7 @@
 };
 
 const innerLimits = {maximumHeaderBytes: 128 * bytesInKibibyte, maximumConnections: 20_000};
-const statusLimits = {maximumHeaderBytes: 16 * bytesInKibibyte, maximumConnections: 100};
+const statusLimits = {maximumHeaderBytes: 16 * bytesInKibibyte, maximumConnections: 100, requestMilliseconds: 5000};
 const stopPollMilliseconds = 10;
 /** Milliseconds for which callers' connections without a request stay open at the end. */
 const idleConnectionMilliseconds = 1000;
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -21,12 +21,19 @@
 	readonly maximumConnections: number;
 	/** Milliseconds after which an unused connection is closed. */
 	readonly keepAliveMilliseconds?: number;
+	/** Milliseconds that a whole request may take to come; its body may take any time if absent. */
+	readonly requestMilliseconds?: number;
+	/** Milliseconds that the rest of a request may take after its answer; a few seconds if absent. */
+	readonly restMilliseconds?: number;
 	/** Lets in only those who show a certificate of the fleet's authority; plain HTTP if absent. */
 	readonly mutualTls?: MutualTlsCredentials;
 };
 
 const defaultKeepAliveMilliseconds = 75_000;
 const headersTimeoutMilliseconds = 15_000;
+const defaultRestMilliseconds = 5000;
+/** Looks for requests that take too long, in each time that one may take. */
+const checksPerRequest = 2;
 const closePollMilliseconds = 20;
 
 /** Listens for HTTP at one address. */
@@ -43,8 +50,7 @@
 		const serverOptions: ServerOptions = {
 			maxHeaderSize: options.maximumHeaderBytes,
 			keepAliveTimeout: options.keepAliveMilliseconds ?? defaultKeepAliveMilliseconds,
-			headersTimeout: headersTimeoutMilliseconds,
-			requestTimeout: 0,
+			...requestTimes(options.requestMilliseconds),
 			requireHostHeader: false,
 			noDelay: true,
 		};
@@ -112,8 +118,10 @@
 
 	#handle(request: IncomingMessage, response: ServerResponse, handler: RequestListener): void {
 		this.#running += 1;
+		const {socket} = request;
 		response.once('close', () => {
 			this.#running -= 1;
+			this.#boundRest(request, socket);
 		});
 		if (this.#closing) {
 			response.shouldKeepAlive = false;
@@ -126,6 +134,22 @@
 		}
 	}
 
+	/** The rest of a request that was answered before its end is read on, so that its connection can be used again, but not for ever. */
+	#boundRest(request: IncomingMessage, socket: Socket): void {
+		if (request.complete || socket.destroyed) {
+			return;
+		}
+
+		const timer = setTimeout(() => {
+			if (!request.complete) {
+				socket.destroy();
+			}
+		}, this.#options.restMilliseconds ?? defaultRestMilliseconds);
+		request.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
 	#admitConnection(socket: Socket): void {
 		if (this.#sockets.size >= this.#options.maximumConnections) {
 			socket.end(rawProblem({
@@ -142,6 +166,16 @@
 	}
 }
 
+function requestTimes(requestMilliseconds: number | undefined): ServerOptions {
+	return requestMilliseconds === undefined
+		? {headersTimeout: headersTimeoutMilliseconds, requestTimeout: 0}
+		: {
+			headersTimeout: Math.min(headersTimeoutMilliseconds, requestMilliseconds),
+			requestTimeout: requestMilliseconds,
+			connectionsCheckingInterval: requestMilliseconds / checksPerRequest,
+		};
+}
+
 function createSecureServer(options: ServerOptions, {authority, certificate, privateKey}: MutualTlsCredentials): Server {
 	return createTlsServer({
 		...options,
@@ -167,12 +201,17 @@
 		return {code: 'header-too-large', outcome: 'not-run', detail: 'the header fields are too large'};
 	}
 
+	if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+		return {code: 'request-timeout', outcome: 'not-run', detail: 'the request did not come whole in time'};
+	}
+
 	return {code: 'bad-request', outcome: 'not-run', detail: 'the request is not well-formed HTTP'};
 }
 
 const statusText: Partial<Record<ProblemCode, string>> = {
 	'header-too-large': 'Request Header Fields Too Large',
 	'bad-request': 'Bad Request',
+	'request-timeout': 'Request Timeout',
 	overloaded: 'Service Unavailable',
 };
 
--- a/packages/transport/src/http-listener/test.ts
+++ b/packages/transport/src/http-listener/test.ts
@@ -62,4 +62,43 @@
 		await listener.close(1000, idleMilliseconds);
 		await ended;
 	});
+
+	describe('with a caller that sends without end', () => {
+		const head = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+		/** Sends a body bit by bit until the connection ends, and returns what was answered. */
+		async function sendOn(address: string): Promise<string> {
+			const socket = await open(address);
+			let answer = '';
+			socket.on('data', (text: string) => {
+				answer += text;
+			});
+			socket.on('error', () => undefined);
+			const writer = setInterval(() => {
+				socket.write('1\r\nx\r\n');
+			}, 5);
+			socket.write(head);
+			await new Promise<void>(resolve => {
+				socket.on('close', resolve);
+			});
+			clearInterval(writer);
+			return answer;
+		}
+
+		it('closes the connection some time after an early answer', async () => {
+			const listener = new HttpListener((_request, response) => {
+				response.end('early');
+			}, {...limits, restMilliseconds: 50});
+			expect(await sendOn(await listener.listen('127.0.0.1:0'))).to.contain('200 OK').and.to.contain('early');
+			await listener.close(1000);
+		});
+
+		it('answers 408 and closes the connection once the time for a request is over', async () => {
+			const listener = new HttpListener(request => {
+				request.resume();
+			}, {...limits, requestMilliseconds: 100});
+			expect(await sendOn(await listener.listen('127.0.0.1:0'))).to.contain('408 Request Timeout').and.to.contain('not-run');
+			await listener.close(1000);
+		});
+	});
 });
