Bound what peers may make a node hold

An answer of a gate over HTTP that states a problem was read to its end with all its body kept; a message on a shared connection could have 32 MiB in a process of 250 MB, and anyone who connects could make a node hold that much before the word of the fleet is asked for (each read of 64 KiB copied what had come so far).

Now the body of a problem is read for 64 KiB and 250 ms, then its head alone counts and the connection is closed; a message has at most 2 MiB, which a body that is sent whole (1 MiB) and heads of 64 KiB fit in.

Not changed: the 64 MiB bound of remote calls, as a configuration may have 16 MiB and what control processes send each other was not measured.

--- a/packages/node/src/_lib/channel-gates/test.ts
+++ b/packages/node/src/_lib/channel-gates/test.ts
@@ -157,6 +157,22 @@
 		expect(seen.text).to.have.length(size);
 	});
 
+	it('carries a large body that is sent whole', async () => {
+		const bytes = 1_000_000;
+		upstream.handler = (message, response) => {
+			let received = 0;
+			message.on('data', (chunk: Uint8Array) => {
+				received += chunk.length;
+			});
+			message.on('end', () => {
+				response.end(String(received));
+			});
+		};
+
+		const answer = await request(`http://${entry.addresses.callers}/orders`, {method: 'POST', headers: {authorization, 'idempotency-key': 'largest'}, body: 'x'.repeat(bytes)});
+		expect(await answer.body.text()).to.equal(String(bytes));
+	});
+
 	it('breaks a call off at the upstream when the caller leaves', async () => {
 		upstream.handler = message => {
 			message.resume();
--- a/packages/node/src/_lib/remote-gate/index.ts
+++ b/packages/node/src/_lib/remote-gate/index.ts
@@ -12,6 +12,7 @@
 	inquire, retriesGiven, unreachableGate, type GateInquiryOptions,
 } from '../gate-inquiry/index.js';
 import {formatGateCall} from '../gate-call/index.js';
+import {PassedAnswer} from '../passed-answer/index.js';
 import type {
 	CallReceiver, CallRunner, GateCall, GateNote, RunningCall,
 } from '../call-types.js';
@@ -91,6 +92,8 @@
 	#isWholeMarked = false;
 	#problemHead: AnswerHead | undefined;
 	readonly #problemBody: Uint8Array[] = [];
+	/** Bounds the body of a problem, which says no more than its head. */
+	#problemRest: PassedAnswer | undefined;
 
 	constructor(target: Target, call: GateCall, receiver: CallReceiver, options: RemoteGatesOptions) {
 		this.#target = target;
@@ -122,6 +125,7 @@
 
 	cancel(): void {
 		this.#cancelled = true;
+		this.#problemRest?.end();
 		this.#send?.cancel();
 	}
 
@@ -135,6 +139,10 @@
 		};
 		if (parseProblemCode(head.headers) !== undefined) {
 			this.#problemHead = head;
+			this.#problemRest = new PassedAnswer(this.#options.clock, () => {
+				this.#send?.cancel();
+				this.#receiver.onProblem(readProblem(head, Buffer.alloc(0)), this.#note);
+			});
 			return;
 		}
 
@@ -151,9 +159,11 @@
 		}
 
 		this.#problemBody.push(Uint8Array.from(chunk));
+		this.#problemRest?.take(chunk.byteLength);
 	}
 
 	onEnd(trailers: HeaderFields): void {
+		this.#problemRest?.end();
 		if (this.#problemHead !== undefined) {
 			this.#receiver.onProblem(readProblem(this.#problemHead, Buffer.concat(this.#problemBody)), this.#note);
 			return;
@@ -168,6 +178,7 @@
 	}
 
 	onFailure(failure: SendFailure): void {
+		this.#problemRest?.end();
 		if (failure.answered && this.#problemHead === undefined) {
 			this.#receiver.onBroken();
 			return;
--- a/packages/transport/src/frame-connection/index.ts
+++ b/packages/transport/src/frame-connection/index.ts
@@ -8,7 +8,10 @@
 */
 
 import {connect, type Socket} from 'node:net';
-import {FireflygladeError, type Clock, type Timer} from '@fireflyglade/model';
+import {
+	bytesInMebibyte, FireflygladeError,
+	type Clock, type Timer,
+} from '@fireflyglade/model';
 import {Packr} from 'msgpackr';
 import {parseAddress} from '../parse-address/index.js';
 
@@ -35,7 +38,8 @@
 };
 
 const lengthBytes = 4;
-const defaultLargestMessageBytes = 33_554_432;
+/** A body that is sent whole has at most a mebibyte; heads, trailers and pieces of answers have less. */
+const defaultLargestMessageBytes = 2 * bytesInMebibyte;
 /** Milliseconds without a byte from the other side after which a sign of life is asked for. */
 const quietMilliseconds = 300;
 /** Milliseconds without a byte from the other side after which the connection counts as lost. */
--- a/packages/transport/src/frame-connection/test.ts
+++ b/packages/transport/src/frame-connection/test.ts
@@ -1,9 +1,10 @@
 import {
-	createServer, type AddressInfo, type Server, type Socket,
+	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {expect} from 'chai';
 import {ManualClock, SystemClock} from '@fireflyglade/model';
 import {FrameListener} from '../frame-listener/index.js';
+import {parseAddress} from '../parse-address/index.js';
 import {FrameConnection} from './index.js';
 
 async function until(condition: () => boolean): Promise<void> {
@@ -67,6 +68,27 @@
 		expect(connection.wasConnected).to.equal(true);
 	});
 
+	it('takes no message of more than two mebibytes unless it is told to', async () => {
+		const longest = 2_097_152;
+		const ends: string[] = [];
+		const plain = new FrameListener(() => ({
+			onMessage: nothing,
+			onClosed(error) {
+				ends.push(error?.message ?? 'closed');
+			},
+		}), {clock});
+		const {host, port} = parseAddress(await plain.listen('127.0.0.1:0'));
+		const stranger = connect(port, host);
+		stranger.on('error', nothing);
+		const length = Buffer.alloc(4);
+		length.writeUInt32BE(longest + 1);
+		stranger.write(length);
+		await until(() => ends.length === 1);
+		expect(ends).to.deep.equal(['a message of 2097153 bytes is too large']);
+		stranger.destroy();
+		plain.close();
+	});
+
 	it('tells that it never was connected', async () => {
 		const unused = createServer();
 		await new Promise<void>(resolve => {
