Answer bytes that are no request after the requests that came before them

A caller that pipelines, and whose connection then brings bytes that are no HTTP request, got our 400 at once: in the place of the answer of an earlier request that still ran, or in the middle of its body. Cause: the listener wrote the refusal to the connection without regard to the exchanges that run on it. Now it follows the last of them. The test failed before (the 400 was read first, the answers never).

--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -33,6 +33,8 @@
 export class HttpListener {
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	/** Exchanges that run on each connection; several where the caller pipelines. */
+	readonly #runningOn = new WeakMap<Socket, Set<ServerResponse>>();
 	readonly #options: HttpListenerOptions;
 	#closing = false;
 	#running = 0;
@@ -58,7 +60,9 @@
 		this.#server.on('checkExpectation', (_request: IncomingMessage, response: ServerResponse) => {
 			writeProblem(response, {code: 'expectation-failed', outcome: 'not-run', detail: 'the only expectation that is met is 100-continue'});
 		});
-		this.#server.on('clientError', answerClientError);
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			this.#answerClientError(error, socket);
+		});
 		this.#server.on('connection', (socket: Socket) => {
 			this.#admitConnection(socket);
 		});
@@ -112,8 +116,12 @@
 
 	#handle(request: IncomingMessage, response: ServerResponse, handler: RequestListener): void {
 		this.#running += 1;
+		const {socket} = request;
+		const responses = this.#runningOn.get(socket) ?? new Set();
+		this.#runningOn.set(socket, responses.add(response));
 		response.once('close', () => {
 			this.#running -= 1;
+			responses.delete(response);
 		});
 		if (this.#closing) {
 			response.shouldKeepAlive = false;
@@ -126,6 +134,23 @@
 		}
 	}
 
+	/**
+	Answers bytes that are no request. Requests that came before them on the connection
+	are answered first, as a caller takes answers in the order of its requests.
+	*/
+	#answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+		const responses = this.#runningOn.get(socket);
+		const last = responses === undefined ? undefined : [...responses].at(-1);
+		if (last === undefined || !socket.writable) {
+			refuseClient(error, socket);
+			return;
+		}
+
+		last.once('close', () => {
+			refuseClient(error, socket);
+		});
+	}
+
 	#admitConnection(socket: Socket): void {
 		if (this.#sockets.size >= this.#options.maximumConnections) {
 			socket.end(rawProblem({
@@ -153,7 +178,7 @@
 	});
 }
 
-function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+function refuseClient(error: NodeJS.ErrnoException, socket: Socket): void {
 	if (!socket.writable || error.code === 'ECONNRESET') {
 		socket.destroy();
 		return;
--- a/packages/transport/src/http-listener/test.ts
+++ b/packages/transport/src/http-listener/test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {expect} from 'chai';
 import {HttpListener} from './index.js';
@@ -62,4 +63,33 @@
 		await listener.close(1000, idleMilliseconds);
 		await ended;
 	});
+
+	it('does not answer bytes that are no request before the requests that came before them', async () => {
+		const waiting: ServerResponse[] = [];
+		let onSecond: ((responses: ServerResponse[]) => void) | undefined;
+		const listener = new HttpListener((_request, response) => {
+			waiting.push(response);
+			if (waiting.length === 2) {
+				// By then the bytes behind the second request have been read as well.
+				setImmediate(onSecond!, waiting);
+			}
+		}, limits);
+		const socket = await open(await listener.listen('127.0.0.1:0'));
+		let received = '';
+		socket.on('data', (text: string) => {
+			received += text;
+		});
+		const refused = once(socket, 'close');
+		const [first, second] = await new Promise<ServerResponse[]>(resolve => {
+			onSecond = resolve;
+			socket.write('GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\nno request at all\r\n\r\n');
+		});
+		first!.end('the first');
+		second!.end('the second');
+		await refused;
+		expect(received.indexOf('the first')).to.be.above(0);
+		expect(received.indexOf('the second')).to.be.above(received.indexOf('the first'));
+		expect(received.indexOf('HTTP/1.1 400')).to.be.above(received.indexOf('the second'));
+		await listener.close(0);
+	});
 });
