Let a node that restarts join at once, and serve no callers before

Cause: a restarted node knows no peer until control answers its first report. It looked for seeds to join by every 2 s, the first time at its start, when it knew none; the peers that came 0.1 s later had to wait for the next time. Meanwhile it had a confirmed configuration and so said that it could serve callers.

Now peers that control tells of are asked for all that they know at once, another one after 0.3 s without an answer, and hasConfiguration is true only once a peer has answered, or after 2 s without any.

The test of FleetRuntime failed without the new condition ("though no peer answered"); the tests of GossipMembership ask for functions that were not there.

--- a/packages/membership/src/_lib/constants.ts
+++ b/packages/membership/src/_lib/constants.ts
@@ -30,6 +30,10 @@
 export const rejoinIntervalMilliseconds = 2000;
 /** Nodes of a domain that probe a dead member in one such interval, on average. */
 export const rejoiningNodes = 4;
+/** Milliseconds between two attempts to join before any peer has told what it knows. */
+export const joinIntervalMilliseconds = 300;
+/** Milliseconds without word from a peer after which a node goes on alone. */
+export const joinPatienceMilliseconds = 2000;
 /** Milliseconds between two requests for the whole state of a peer. */
 export const synchronizationIntervalMilliseconds = 1000;
 /** Milliseconds after which a domain or the quorum that was not heard of counts as silent. */
--- a/packages/membership/src/gossip-membership/index.ts
+++ b/packages/membership/src/gossip-membership/index.ts
@@ -10,7 +10,7 @@
 	type Configuration, type FailureDomain, type GateLevel, type KeyId, type NodeId, SeededRandom, type Target, UnreachableError,
 } from '@fireflyglade/model';
 import {
-	indirectProbeCount, leaseMilliseconds, probeIntervalMilliseconds, pushFanout, rejoiningNodes, rejoinIntervalMilliseconds, suspicionMilliseconds,
+	indirectProbeCount, joinIntervalMilliseconds, joinPatienceMilliseconds, leaseMilliseconds, probeIntervalMilliseconds, pushFanout, rejoiningNodes, rejoinIntervalMilliseconds, suspicionMilliseconds,
 	synchronizationIntervalMilliseconds,
 } from '../_lib/constants.js';
 import type {
@@ -52,6 +52,9 @@
 	#differsSince?: number;
 	#relayNumber = 0;
 	#hasLeft = false;
+	/** True once a peer has told all that it knows, or has not for long. */
+	#hasJoined = false;
+	readonly #startedAt: number;
 	#now: number;
 
 	constructor(options: MembershipOptions) {
@@ -67,6 +70,7 @@
 		this.#nextGatewayProbeAt = now;
 		this.#nextJoinAt = now;
 		this.#nextSynchronizationAt = now;
+		this.#startedAt = now;
 		this.#now = now;
 	}
 
@@ -97,8 +101,9 @@
 		return this.#takeActions();
 	}
 
-	/** Takes over further addresses to join by; no more than a few are kept. */
-	addSeeds(addresses: readonly string[]): void {
+	/** Takes over further addresses to join by; no more than a few are kept. A node that has not joined yet does so at once. */
+	addSeeds(addresses: readonly string[], now: number): MembershipActions {
+		this.#now = now;
 		const own = this.#knowledge.self.rpcAddress;
 		const unknown = addresses.filter(address => address !== own && !this.#seeds.includes(address));
 		if (unknown.length > 0) {
@@ -106,6 +111,21 @@
 		}
 
 		this.#isDiscovering &&= addresses.length === 0;
+		if (unknown.length > 0 && !this.#hasJoined && !this.#hasLeft) {
+			this.#nextJoinAt = now;
+			this.#join();
+		}
+
+		return this.#takeActions();
+	}
+
+	/**
+	True once the node knows the fleet: a peer has told it all that it knows, or no
+	peer has done so for long. Before that it knows neither targets nor holders.
+	*/
+	hasJoined(now: number): boolean {
+		this.#hasJoined ||= now - this.#startedAt >= joinPatienceMilliseconds;
+		return this.#hasJoined;
 	}
 
 	describeSelf(description: SelfDescription, now: number): MembershipActions {
@@ -282,8 +302,12 @@
 				return;
 			}
 
-			case 'news':
 			case 'state': {
+				this.#hasJoined = true;
+				return;
+			}
+
+			case 'news': {
 				return;
 			}
 
@@ -403,7 +427,7 @@
 			return;
 		}
 
-		this.#nextJoinAt = this.#now + rejoinIntervalMilliseconds;
+		this.#nextJoinAt = this.#now + (this.hasJoined(this.#now) ? rejoinIntervalMilliseconds : joinIntervalMilliseconds);
 		const [seed] = shuffle(this.#seeds.filter(address => !this.#heardSeeds.has(address)), this.#random);
 		if (seed !== undefined) {
 			this.#send(seed, {kind: 'synchronize'});
--- a/packages/membership/src/gossip-membership/test.ts
+++ b/packages/membership/src/gossip-membership/test.ts
@@ -56,6 +56,38 @@
 		expect(network.runUntil(() => every(network, member => memberState(member, 'north-3') === 'alive'), 8000)).to.be.a('number');
 	});
 
+	it('does not leave a node that restarted without targets for seconds, once it is told of peers', () => {
+		const network = startFleet(['north', 'south', 'west'], 6);
+		network.run(8000);
+		network.kill('north-3:1');
+		network.run(700);
+		const restarted = network.start(selfOf('north', 3), []);
+		network.run(300);
+		expect(restarted.hasJoined(network.now), 'joined before it was told of peers').to.equal(false);
+		network.take('north-3:1', restarted.addSeeds(['north-0:1', 'south-0:1'], network.now));
+		expect(network.runUntil(() => restarted.hasJoined(network.now), 100)).to.be.a('number');
+		expect(restarted.members()).to.have.length(18);
+		expect(restarted.lease('holder', north, network.now)?.holder).to.be.a('string');
+	});
+
+	it('asks another peer soon if the first one that a node is told of is silent, and goes on alone after 2 s', () => {
+		const network = startFleet(['north'], 4);
+		network.run(4000);
+		network.isLost = (from, to) => from === 'north-9:1' || to === 'north-9:1';
+		const alone = network.start(selfOf('north', 9), []);
+		network.take('north-9:1', alone.addSeeds(['north-0:1', 'north-1:1'], network.now));
+		network.run(1900);
+		expect(alone.hasJoined(network.now)).to.equal(false);
+		network.run(200);
+		expect(alone.hasJoined(network.now)).to.equal(true);
+
+		network.isLost = (_, to) => to === 'north-0:1';
+		const late = network.start(selfOf('north', 8), []);
+		network.take('north-8:1', late.addSeeds(['north-0:1', 'north-1:1'], network.now));
+		expect(network.runUntil(() => late.hasJoined(network.now), 1000)).to.be.a('number');
+		expect(late.members().length).to.be.at.least(5);
+	});
+
 	it('gives each domain one holder, and never two under cuts and deaths', () => {
 		const network = startFleet(['north', 'south'], 5);
 		network.run(6000);
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -195,8 +195,12 @@
 	}
 
 	hasConfiguration(): boolean {
-		const {freshness} = this.#options;
-		return freshness === undefined || (freshness.isConfirmed && this.configuration().label > initialLabel);
+		const {freshness, clock} = this.#options;
+		if (freshness === undefined) {
+			return true;
+		}
+
+		return freshness.isConfirmed && this.configuration().label > initialLabel && (this.#running?.membership.hasJoined(clock.now()) ?? true);
 	}
 
 	areKeysFresh(): boolean {
@@ -285,12 +289,18 @@
 			}
 
 			if (discovers === true) {
-				this.#running?.membership.addSeeds(answer.peers ?? []);
+				this.#addPeers(answer.peers ?? []);
 				this.#takeControl(answer.control ?? []);
 			}
 		};
 	}
 
+	#addPeers(addresses: readonly string[]): void {
+		if (this.#running !== undefined) {
+			this.#takeMembership(this.#running.membership.addSeeds(addresses, this.#options.clock.now()));
+		}
+	}
+
 	/** The addresses of the settings stay, as those of the answer may be gone one day. */
 	#takeControl(addresses: readonly string[]): void {
 		if (addresses.length > 0) {
--- a/packages/node/src/fleet-runtime/test.ts
+++ b/packages/node/src/fleet-runtime/test.ts
@@ -1,12 +1,15 @@
 import {expect} from 'chai';
+import {GossipMembership, type SelfDescription} from '@fireflyglade/membership';
 import {
-	createFailureDomain, createNodeId, createTeamName, emptyConfiguration, SystemClock,
+	createFailureDomain, createNodeId, createTeamName, emptyConfiguration, ManualClock, SystemClock,
 	type AcceptedChange, type Configuration, type ConfigurationChange, type FailureDomain, type KeyId, type RequestId, type Revision,
 } from '@fireflyglade/model';
 import {applyConfigurationChange} from '@fireflyglade/state';
 import {
-	GrpcRpcClient, GrpcRpcServer, reportMethod, type NodeReport,
+	GrpcRpcClient, GrpcRpcServer, reportMethod, type NodeReport, type ReportAnswer, type RpcClient, type RpcMethod,
 } from '@fireflyglade/transport';
+import {deliverMethod, type PeerBatch} from '../fleet-runtime-methods/index.js';
+import {KeyFreshness} from '../_lib/key-freshness/index.js';
 import {FleetRuntime} from './index.js';
 
 const credentials = {kind: 'token', token: 'fleet-runtime-test'} as const;
@@ -186,3 +189,71 @@
 		expect(late.fleet.configuration()).to.deep.equal(nodes[0]!.fleet.configuration());
 	});
 });
+
+/** A control process and one peer, reached without a network; the peer answers once it is let. */
+class FakeFleet implements RpcClient {
+	isPeerSilent = true;
+	readonly #peer: GossipMembership;
+	readonly #self: SelfDescription;
+
+	constructor() {
+		this.#self = {
+			node: createNodeId('peer'), domain: createFailureDomain('north'), rpcAddress: 'peer:1', gateUrl: 'http://peer:2', leaving: false, revision: 1 as Revision,
+		};
+		this.#peer = new GossipMembership({
+			self: this.#self, seeds: [], randomSeed: 1, incarnation: 1, now: 0,
+		});
+	}
+
+	async call<Request, Response>(method: RpcMethod<Request, Response>, _address: string, request: Request): Promise<Response> {
+		if (method === reportMethod as unknown && (request as NodeReport).revision === 0) {
+			const answer: ReportAnswer = {
+				update: {kind: 'whole', configuration: {...emptyConfiguration, revision: 1 as Revision, label: 1 as Configuration['label']}}, quorum: true, confirmed: true, peers: ['peer:1'],
+			};
+			return answer as Response;
+		}
+
+		if (method !== deliverMethod as unknown || this.isPeerSilent) {
+			throw new Error('unreachable');
+		}
+
+		const {membership} = request as PeerBatch;
+		const answers = membership.flatMap(message => this.#peer.receive(message, 0).messages);
+		const {node, rpcAddress} = this.#self;
+		const batch: PeerBatch = {
+			from: node, fromAddress: rpcAddress, membership: answers, rates: [],
+		};
+		return batch as Response;
+	}
+
+	close(): void {
+		this.isPeerSilent = true;
+	}
+}
+
+async function settle(): Promise<void> {
+	for (let turn = 0; turn < 5; turn++) {
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+describe('FleetRuntime that has just started', () => {
+	it('does not say that it can serve callers before a peer has told it of the targets', async () => {
+		const manual = new ManualClock(1000);
+		const client = new FakeFleet();
+		const fleet = new FleetRuntime({
+			node: createNodeId('node-1'), domain: createFailureDomain('north'), control: ['control:1'], seeds: [], client, clock: manual, randomSeed: 3, discovers: true,
+			freshness: new KeyFreshness({monotonicNow: () => manual.now(), suspendedNow: () => manual.now()}, 4000),
+		});
+		fleet.start({rpcAddress: 'node-1:1', gateUrl: 'http://node-1:2', callersUrl: 'http://node-1:3'});
+		await settle();
+		expect(fleet.configuration().label).to.equal(1);
+		expect(fleet.hasConfiguration(), 'though no peer answered').to.equal(false);
+		client.isPeerSilent = false;
+		manual.advance(400);
+		await settle();
+		expect(fleet.hasConfiguration(), 'after a peer answered').to.equal(true);
+	});
+});
--- a/packages/node/src/types.ts
+++ b/packages/node/src/types.ts
@@ -17,7 +17,7 @@
 	configuration(): Configuration;
 	/** Withdrawn by gossip, perhaps before the configuration says so. */
 	isKeyWithdrawn(id: KeyId): boolean;
-	/** True if a configuration that a quorum confirmed is in force; nothing is served before. */
+	/** True if a configuration that a quorum confirmed is in force and peers have told of the targets; nothing is served before. */
 	hasConfiguration(): boolean;
 	/** True if a quorum has confirmed the keys lately enough. */
 	areKeysFresh(): boolean;
