Read a reset that comes with the last bytes as a reset, not as an end

Cause: where a reset is pending together with the last bytes, libuv reads the bytes, sees the hang-up in the same poll and tells an end instead of the reset; undici then completes the answer, as it takes the end of the connection for the end of an answer without a length. The sender listened for 'error' only, which never comes. Processes that are short of processor time find both at once often.

The sender now asks the connection with a write of no bytes when it ends: the kernel keeps the reset for the next use. An end while the request is still being written counts as broken too. Not covered: TLS between nodes, whose answers carry their own mark of being whole.

The test failed before ("expected whole to deeply equal broken").

--- a/packages/transport/src/http-sender/index.ts
+++ b/packages/transport/src/http-sender/index.ts
@@ -7,7 +7,8 @@
 */
 
 import {Readable} from 'node:stream';
-import type {ConnectionOptions} from 'node:tls';
+import type {Socket} from 'node:net';
+import {TLSSocket, type ConnectionOptions} from 'node:tls';
 import {FireflygladeError} from '@fireflyglade/model';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
 import type {
@@ -101,6 +102,13 @@
 		await this.#pool.destroy();
 	}
 
+	#noteBreak(): void {
+		this.#isBreaking = true;
+		process.nextTick(() => {
+			this.#isBreaking = false;
+		});
+	}
+
 	/**
 	Notes when a connection breaks, before the client library hears of it: the library
 	takes a reset for the end of an answer that has no length.
@@ -111,10 +119,12 @@
 				const [error, socket] = result;
 				if (error === null) {
 					socket.on('error', () => {
-						this.#isBreaking = true;
-						process.nextTick(() => {
-							this.#isBreaking = false;
-						});
+						this.#noteBreak();
+					});
+					socket.prependListener('end', () => {
+						if (wasReset(socket)) {
+							this.#noteBreak();
+						}
 					});
 				}
 
@@ -124,6 +134,27 @@
 	}
 }
 
+const nothing = Buffer.alloc(0);
+
+/**
+Tells whether a connection that seems to have ended was reset in truth: a reset that
+comes together with the last bytes is read as an end. A write of no bytes asks the
+operating system, which holds the reset back for the next use of the connection. Where
+the request itself is still being written, an end is none.
+*/
+function wasReset(socket: Socket): boolean {
+	if (socket instanceof TLSSocket) {
+		return false;
+	}
+
+	if (socket.writableLength > 0) {
+		return true;
+	}
+
+	socket.write(nothing);
+	return socket.errored !== null;
+}
+
 function secureConnect(mutualTls: MutualTlsCredentials | undefined): buildConnector.BuildOptions & Pick<ConnectionOptions, 'ca' | 'cert' | 'key'> {
 	if (mutualTls === undefined) {
 		return {};
--- a/packages/transport/src/http-sender/test.ts
+++ b/packages/transport/src/http-sender/test.ts
@@ -7,6 +7,13 @@
 
 type Ended = {readonly kind: 'whole' | 'broken'; readonly body: string};
 
+/** Resets a connection without ending it first, as `resetAndDestroy` does while a socket can be written to. */
+function resetAtOnce(socket: Socket): void {
+	Object.assign(socket, {writable: false});
+	socket.resetAndDestroy();
+	socket.destroy();
+}
+
 describe('HttpSender', () => {
 	let server: Server;
 	let sender: HttpSender;
@@ -71,6 +78,14 @@
 		expect(ended.kind).to.equal('broken');
 	});
 
+	it('does not pass on an answer without a length as whole whose last bytes came together with the reset', async () => {
+		await start(socket => {
+			socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+			resetAtOnce(socket);
+		});
+		expect(await exchange()).to.deep.equal({kind: 'broken', body: 'part'});
+	});
+
 	it('takes an answer that is shorter than its length for a failure', async () => {
 		await start(socket => {
 			socket.end('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\npart');
