Hold answers back at the socket, so that a reset does not end the node

A caller that reads slowly makes the node hold an answer back. If the upstream's connection then broke or ended, and the answer had no length or said `connection: close`, undici 7.30 finished its paused parser in an event of the socket, which fails an assertion there (`assert(!this.paused)`): an uncaught exception, which ends the node's process with all calls that it carries.

Pausing is now the connection's own (`SendingConnection`): while it is held it gives the library nothing to read, so that the library is never paused, and the bytes stay in the socket under back-pressure. A connection belongs to one client of the pool, so that an answer asks its own connection whether it broke, in place of a flag of all.

Tests that failed before (an uncaught AssertionError each): a held answer that is reset, without and with a length, and a held answer that ends at its last bytes.

--- a/packages/transport/src/http-sender/index.ts
+++ b/packages/transport/src/http-sender/index.ts
@@ -7,12 +7,14 @@
 */
 
 import {Readable} from 'node:stream';
-import type {Socket} from 'node:net';
-import {TLSSocket, type ConnectionOptions} from 'node:tls';
+import type {ConnectionOptions} from 'node:tls';
 import {FireflygladeError} from '@fireflyglade/model';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
+import {
+	ConnectionClient, type ConnectionUser, type SendingConnection, type SendOptions,
+} from '../_lib/sending-connection.js';
 import type {
-	AnswerReceiver, MutualTlsCredentials, OutgoingRequest, RunningSend,
+	AnswerFlow, AnswerReceiver, MutualTlsCredentials, OutgoingRequest, RunningSend,
 } from '../http-types/index.js';
 
 /** A request was given up by its sender. */
@@ -55,10 +57,9 @@
 /** Sends requests to one origin. */
 export class HttpSender {
 	readonly #pool: Pool;
-	/** True while a connection tells that it broke. */
-	#isBreaking = false;
 
 	constructor(origin: string, options: HttpSenderOptions = {}) {
+		const connector = buildConnector({timeout: options.connectMilliseconds ?? defaultConnectMilliseconds, ...secureConnect(options.mutualTls)});
 		this.#pool = new Pool(origin, {
 			connections: options.connections ?? null,
 			pipelining: 1,
@@ -66,25 +67,26 @@
 			bodyTimeout: 0,
 			maxHeaderSize: maximumAnswerHeaderBytes,
 			keepAliveTimeout: options.keepAliveMilliseconds ?? defaultKeepAliveMilliseconds,
-			connect: this.#watchConnections(buildConnector({timeout: options.connectMilliseconds ?? defaultConnectMilliseconds, ...secureConnect(options.mutualTls)})),
+			factory: (url, clientOptions) => new ConnectionClient(url, clientOptions, connector),
 		});
 	}
 
 	/** Sends a request; what comes of it goes to `receiver`. */
 	send(request: OutgoingRequest, receiver: AnswerReceiver): RunningSend {
-		const exchange = new Exchange(receiver, () => this.#isBreaking);
+		const exchange = new Exchange(receiver);
 		if (request.body instanceof Readable && request.bodyLength !== undefined) {
 			request.headers.push('content-length', String(request.bodyLength));
 		}
 
+		const options: SendOptions = {
+			method: request.method,
+			path: request.path,
+			headers: request.headers,
+			body: request.body ?? null,
+			user: exchange,
+		};
 		try {
-			this.#pool.dispatch({
-				method: request.method,
-				path: request.path,
-				headers: request.headers,
-
-				body: (request.body ?? null),
-			}, exchange);
+			this.#pool.dispatch(options, exchange);
 		} catch (error) {
 			exchange.onResponseError(undefined, error as Error);
 		}
@@ -101,58 +103,6 @@
 	async destroy(): Promise<void> {
 		await this.#pool.destroy();
 	}
-
-	#noteBreak(): void {
-		this.#isBreaking = true;
-		process.nextTick(() => {
-			this.#isBreaking = false;
-		});
-	}
-
-	/**
-	Notes when a connection breaks, before the client library hears of it: the library
-	takes a reset for the end of an answer that has no length.
-	*/
-	#watchConnections(connector: buildConnector.connector): buildConnector.connector {
-		return (options, callback) => {
-			connector(options, (...result) => {
-				const [error, socket] = result;
-				if (error === null) {
-					socket.on('error', () => {
-						this.#noteBreak();
-					});
-					socket.prependListener('end', () => {
-						if (wasReset(socket)) {
-							this.#noteBreak();
-						}
-					});
-				}
-
-				callback(...result);
-			});
-		};
-	}
-}
-
-const nothing = Buffer.alloc(0);
-
-/**
-Tells whether a connection that seems to have ended was reset in truth: a reset that
-comes together with the last bytes is read as an end. A write of no bytes asks the
-operating system, which holds the reset back for the next use of the connection. Where
-the request itself is still being written, an end is none.
-*/
-function wasReset(socket: Socket): boolean {
-	if (socket instanceof TLSSocket) {
-		return false;
-	}
-
-	if (socket.writableLength > 0) {
-		return true;
-	}
-
-	socket.write(nothing);
-	return socket.errored !== null;
 }
 
 function secureConnect(mutualTls: MutualTlsCredentials | undefined): buildConnector.BuildOptions & Pick<ConnectionOptions, 'ca' | 'cert' | 'key'> {
@@ -163,17 +113,33 @@
 	return {ca: Buffer.from(mutualTls.authority), cert: Buffer.from(mutualTls.certificate), key: Buffer.from(mutualTls.privateKey)};
 }
 
-class Exchange implements Dispatcher.DispatchHandler, RunningSend {
+class Exchange implements Dispatcher.DispatchHandler, RunningSend, AnswerFlow, ConnectionUser {
 	readonly #receiver: AnswerReceiver;
-	readonly #isConnectionBreaking: () => boolean;
+	#connection: SendingConnection | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
 	#begun = false;
 	#answered = false;
 	#done = false;
 
-	constructor(receiver: AnswerReceiver, isConnectionBreaking: () => boolean) {
+	constructor(receiver: AnswerReceiver) {
 		this.#receiver = receiver;
-		this.#isConnectionBreaking = isConnectionBreaking;
+	}
+
+	useConnection(connection: SendingConnection): void {
+		this.#connection = connection;
+	}
+
+	/** Holds the answer back while it has not ended; the connection carries others after it. */
+	pause(): void {
+		if (!this.#done) {
+			this.#connection?.hold();
+		}
+	}
+
+	resume(): void {
+		if (!this.#done) {
+			this.#connection?.release();
+		}
 	}
 
 	cancel(): void {
@@ -201,13 +167,13 @@
 		this.#receiver.onBegin?.();
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
 		if (this.#done || status < 200) {
 			return;
 		}
 
 		this.#answered = true;
-		this.#receiver.onHead({status, headers}, controller);
+		this.#receiver.onHead({status, headers}, this);
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
@@ -217,12 +183,13 @@
 	}
 
 	onResponseEnd(_controller: Dispatcher.DispatchController, trailers: Record<string, string | string[] | undefined>): void {
+		this.#connection?.release();
 		if (this.#done) {
 			return;
 		}
 
 		this.#done = true;
-		if (this.#isConnectionBreaking()) {
+		if (this.#connection?.isBroken === true) {
 			this.#receiver.onFailure({begun: true, answered: true, cause: new AnswerBrokenError('the connection broke in the middle of an answer without a length')});
 			return;
 		}
