Take a late 421 of another request for foreign, not for "not run"

`judgeAnswer` looked at status 421 before it looked at the repeated id, so that a second answer that came late, with the id of an earlier request, told that the running request had not run and never would: a caller is told 503 of a request that runs. A 421 without an id still counts as before.

The test failed before (expected 'not-run' to equal 'foreign').

--- a/packages/node/src/_lib/judge-answer/index.ts
+++ b/packages/node/src/_lib/judge-answer/index.ts
@@ -28,11 +28,13 @@
 */
 export function judgeAnswer(head: AnswerHead, sentFields: readonly string[], callInterface: CallInterface): AnswerVerdict {
 	const {echoField, notRunField, expectedUpstreamField} = callInterface;
-	if (expectedUpstreamField !== undefined && head.status === misdirectedStatus) {
+	const repeated = echoField === undefined ? undefined : head.headers[echoField];
+	const isRepeated = echoField === undefined || repeated === fieldOf(sentFields, echoField);
+	if (expectedUpstreamField !== undefined && head.status === misdirectedStatus && (isRepeated || repeated === undefined)) {
 		return 'not-run';
 	}
 
-	if (echoField !== undefined && head.headers[echoField] !== fieldOf(sentFields, echoField)) {
+	if (!isRepeated) {
 		return 'foreign';
 	}
 
--- a/packages/node/src/_lib/judge-answer/test.ts
+++ b/packages/node/src/_lib/judge-answer/test.ts
@@ -23,6 +23,12 @@
 		expect(judgeAnswer({status: 421, headers: {}}, sent, named)).to.equal('not-run');
 	});
 
+	it('does not take a late answer to another request for word that this one did not run', () => {
+		expect(judgeAnswer({status: 421, headers: {'x-request': 'r-0'}}, sent, named)).to.equal('foreign');
+		expect(judgeAnswer({status: 503, headers: {'x-request': 'r-0', 'x-not-run': '1'}}, sent, named)).to.equal('foreign');
+		expect(judgeAnswer({status: 421, headers: {'x-request': 'r-1'}}, sent, named)).to.equal('not-run');
+	});
+
 	it('takes every answer where the interface names no such fields', () => {
 		expect(judgeAnswer({status: 421, headers: {}}, sent, productCallInterface)).to.equal('own');
 	});
