--- a/packages/transport/src/_lib/answer-bytes/test.ts
+++ b/packages/transport/src/_lib/answer-bytes/test.ts
@@ -48,7 +48,7 @@
 	socket.write(start, writeOn);
 }
 
-describe('ReadWatch', () => {
+describe('ConnectionBytes', () => {
 	let server: Server;
 	let sender: HttpSender;
 	const upstream = {
