--- a/packages/transport/src/_lib/answer-bytes/index.ts
+++ b/packages/transport/src/_lib/answer-bytes/index.ts
@@ -49,22 +49,3 @@
 		}
 	}
 }
-
-/** Counts what the connections of one sender bring, and knows which of them is read now. */
-export class ReadWatch {
-	#current: ConnectionBytes | undefined;
-
-	/** The connection whose bytes were handed to the parser last. */
-	get current(): ConnectionBytes | undefined {
-		return this.#current;
-	}
-
-	/** Watches a connection from before the parser hears of it, so that the parser's part of an event follows. */
-	watch(socket: Socket): void {
-		const bytes = new ConnectionBytes(socket);
-		socket.on('readable', () => {
-			this.#current = bytes;
-			bytes.check();
-		});
-	}
-}
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -21,7 +21,7 @@
 	readonly maximumConnections: number;
 	/** Milliseconds after which an unused connection is closed. */
 	readonly keepAliveMilliseconds?: number;
-	/** Milliseconds that a whole request may take to come; its body may take any time if absent. */
+	/** Milliseconds that a whole request may take to come, for handlers that act on whole requests alone; its body may take any time if absent. */
 	readonly requestMilliseconds?: number;
 	/** Milliseconds that the rest of a request may take after its answer; a few seconds if absent. */
 	readonly restMilliseconds?: number;
@@ -40,6 +40,8 @@
 export class HttpListener {
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	/** Exchanges that run on each connection; several where the caller pipelines. */
+	readonly #runningOn = new WeakMap<Socket, Set<ServerResponse>>();
 	readonly #options: HttpListenerOptions;
 	#closing = false;
 	#running = 0;
@@ -64,7 +66,9 @@
 		this.#server.on('checkExpectation', (_request: IncomingMessage, response: ServerResponse) => {
 			writeProblem(response, {code: 'expectation-failed', outcome: 'not-run', detail: 'the only expectation that is met is 100-continue'});
 		});
-		this.#server.on('clientError', answerClientError);
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			this.#answerClientError(error, socket);
+		});
 		this.#server.on('connection', (socket: Socket) => {
 			this.#admitConnection(socket);
 		});
@@ -119,8 +123,11 @@
 	#handle(request: IncomingMessage, response: ServerResponse, handler: RequestListener): void {
 		this.#running += 1;
 		const {socket} = request;
+		const responses = this.#runningOn.get(socket) ?? new Set();
+		this.#runningOn.set(socket, responses.add(response));
 		response.once('close', () => {
 			this.#running -= 1;
+			responses.delete(response);
 			this.#boundRest(request, socket);
 		});
 		if (this.#closing) {
@@ -150,6 +157,33 @@
 		});
 	}
 
+	/**
+	Answers bytes that are no request. Requests that came before them on the connection
+	are answered first, as a caller takes answers in the order of its requests.
+	*/
+	#answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+		const responses = [...this.#runningOn.get(socket) ?? []];
+		const last = responses.at(-1);
+		if (last?.req.complete === false && last.headersSent) {
+			last.once('close', () => {
+				socket.destroy();
+			});
+			return;
+		}
+
+		// Without its own end the last request waits for nothing but these bytes.
+		const earlier = last?.req.complete === false ? responses.at(-2) : last;
+		const mayHaveRun = last !== earlier;
+		if (earlier === undefined || !socket.writable) {
+			refuseClient(error, socket, mayHaveRun);
+			return;
+		}
+
+		earlier.once('close', () => {
+			refuseClient(error, socket, mayHaveRun);
+		});
+	}
+
 	#admitConnection(socket: Socket): void {
 		if (this.#sockets.size >= this.#options.maximumConnections) {
 			socket.end(rawProblem({
@@ -187,16 +221,16 @@
 	});
 }
 
-function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+function refuseClient(error: NodeJS.ErrnoException, socket: Socket, mayHaveRun: boolean): void {
 	if (!socket.writable || error.code === 'ECONNRESET') {
 		socket.destroy();
 		return;
 	}
 
-	socket.end(rawProblem(clientProblem(error.code)));
+	socket.end(rawProblem(clientProblem(error.code, mayHaveRun)));
 }
 
-function clientProblem(code: string | undefined): Problem {
+function clientProblem(code: string | undefined, mayHaveRun: boolean): Problem {
 	if (code === 'HPE_HEADER_OVERFLOW') {
 		return {code: 'header-too-large', outcome: 'not-run', detail: 'the header fields are too large'};
 	}
@@ -205,7 +239,7 @@
 		return {code: 'request-timeout', outcome: 'not-run', detail: 'the request did not come whole in time'};
 	}
 
-	return {code: 'bad-request', outcome: 'not-run', detail: 'the request is not well-formed HTTP'};
+	return {code: 'bad-request', outcome: mayHaveRun ? 'unknown' : 'not-run', detail: 'the request is not well-formed HTTP'};
 }
 
 const statusText: Partial<Record<ProblemCode, string>> = {
--- a/packages/transport/src/http-listener/test.ts
+++ b/packages/transport/src/http-listener/test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {expect} from 'chai';
 import {HttpListener} from './index.js';
@@ -20,6 +21,20 @@
 	return answer;
 }
 
+/** Reads all that comes until the connection has closed. */
+async function readToEnd(socket: Socket): Promise<string> {
+	let received = '';
+	socket.on('data', (text: string) => {
+		received += text;
+	});
+	await new Promise<void>(resolve => {
+		socket.once('close', () => {
+			resolve();
+		});
+	});
+	return received;
+}
+
 describe('HttpListener', () => {
 	async function startListener(): Promise<{listener: HttpListener; address: string}> {
 		const listener = new HttpListener((_request, response) => {
@@ -69,18 +84,13 @@
 		/** Sends a body bit by bit until the connection ends, and returns what was answered. */
 		async function sendOn(address: string): Promise<string> {
 			const socket = await open(address);
-			let answer = '';
-			socket.on('data', (text: string) => {
-				answer += text;
-			});
 			socket.on('error', () => undefined);
+			const answered = readToEnd(socket);
 			const writer = setInterval(() => {
 				socket.write('1\r\nx\r\n');
 			}, 5);
 			socket.write(head);
-			await new Promise<void>(resolve => {
-				socket.on('close', resolve);
-			});
+			const answer = await answered;
 			clearInterval(writer);
 			return answer;
 		}
@@ -93,6 +103,17 @@
 			await listener.close(1000);
 		});
 
+		it('answers a body that can not be read at once, as its request waits for nothing else', async () => {
+			const listener = new HttpListener(request => {
+				request.resume();
+			}, limits);
+			const socket = await open(await listener.listen('127.0.0.1:0'));
+			const answered = readToEnd(socket);
+			socket.write(`${head}no length of a chunk\r\n`);
+			expect(await answered).to.contain('400 Bad Request').and.to.contain('unknown');
+			await listener.close(0);
+		});
+
 		it('answers 408 and closes the connection once the time for a request is over', async () => {
 			const listener = new HttpListener(request => {
 				request.resume();
@@ -101,4 +122,33 @@
 			await listener.close(1000);
 		});
 	});
+
+	it('does not answer bytes that are no request before the requests that came before them', async () => {
+		const waiting: ServerResponse[] = [];
+		let onSecond: ((responses: ServerResponse[]) => void) | undefined;
+		const listener = new HttpListener((_request, response) => {
+			waiting.push(response);
+			if (waiting.length === 2) {
+				// By then the bytes behind the second request have been read as well.
+				setImmediate(onSecond!, waiting);
+			}
+		}, limits);
+		const socket = await open(await listener.listen('127.0.0.1:0'));
+		let received = '';
+		socket.on('data', (text: string) => {
+			received += text;
+		});
+		const refused = once(socket, 'close');
+		const [first, second] = await new Promise<ServerResponse[]>(resolve => {
+			onSecond = resolve;
+			socket.write('GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\nno request at all\r\n\r\n');
+		});
+		first!.end('the first');
+		second!.end('the second');
+		await refused;
+		expect(received.indexOf('the first')).to.be.above(0);
+		expect(received.indexOf('the second')).to.be.above(received.indexOf('the first'));
+		expect(received.indexOf('HTTP/1.1 400')).to.be.above(received.indexOf('the second'));
+		await listener.close(0);
+	});
 });
