Keep the order of routes between teams of one importance

The priority of a team took the place of that of the route, so that all requests were as important. At the deepest gate, calls of a chain that has begun go before new requests of the same priority, so that crew-schedule stood behind all calls that lookups and sign-offs lead to: 712 logged refusals "requests of this priority are shed" and 663 "the deadline can no longer be met" in 20 s.

Now the priority of the team decides first and that of the route orders the requests of teams that are as important, on one scale from 0 to 99. The room of a gate makes a queue for an importance only once it is used.

The test of CallerPolicy failed before: expected 1 to be below 1.

--- a/packages/admission/src/_lib/waiting-room/index.ts
+++ b/packages/admission/src/_lib/waiting-room/index.ts
@@ -19,20 +19,22 @@
 	return (priority * bandsOfPriority) + (request.depth > 0 ? 0 : 1);
 }
 
+/** The requests of one importance. */
+type Band = {
+	readonly band: number;
+	readonly queue: FairQueue;
+};
+
 /** The requests that wait at a gate. */
 export class WaitingRoom {
-	readonly #bands: FairQueue[] = [];
+	/** The bands that have been in use, in the order of importance. */
+	readonly #bands: Band[] = [];
+	readonly #queues = new Map<number, FairQueue>();
 	readonly #accounts = new TeamAccounts();
 	readonly #byDeadline = new IndexedHeap<WaitingRequest>((left, right) => left.request.deadline < right.request.deadline);
 	readonly #byId = new Map<RequestId, WaitingRequest>();
 	#sequence = 0;
 
-	constructor() {
-		for (let band = 0; band < (lowestPriority + 1) * bandsOfPriority; band++) {
-			this.#bands.push(new FairQueue());
-		}
-	}
-
 	get size(): number {
 		return this.#byId.size;
 	}
@@ -57,13 +59,13 @@
 		};
 		this.#byId.set(request.requestId, waiting);
 		this.#byDeadline.update(waiting);
-		this.#bands[waiting.band]!.add(waiting);
+		this.#queueOf(waiting.band).add(waiting);
 	}
 
 	/** Takes the request that runs next. */
 	takeNext(newestFirst: boolean): WaitingRequest | undefined {
-		for (const band of this.#bands) {
-			const waiting = band.next(newestFirst);
+		for (const {queue} of this.#bands) {
+			const waiting = queue.next(newestFirst);
 			if (waiting !== undefined) {
 				this.#forget(waiting);
 				this.#accounts.charge(waiting.account);
@@ -77,8 +79,8 @@
 
 	/** The request that gives way first when the room is full. */
 	firstToShed(): WaitingRequest | undefined {
-		for (let band = this.#bands.length - 1; band >= 0; band--) {
-			const waiting = this.#bands[band]!.firstToShed();
+		for (let place = this.#bands.length - 1; place >= 0; place--) {
+			const waiting = this.#bands[place]!.queue.firstToShed();
 			if (waiting !== undefined) {
 				return waiting;
 			}
@@ -109,13 +111,26 @@
 			return;
 		}
 
-		for (const band of this.#bands) {
-			band.reorder(account);
+		for (const {queue} of this.#bands) {
+			queue.reorder(account);
 		}
 	}
 
+	#queueOf(band: number): FairQueue {
+		const known = this.#queues.get(band);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const queue = new FairQueue();
+		this.#queues.set(band, queue);
+		this.#bands.push({band, queue});
+		this.#bands.sort((left, right) => left.band - right.band);
+		return queue;
+	}
+
 	#forget(waiting: WaitingRequest): void {
-		this.#bands[waiting.band]!.remove(waiting);
+		this.#queues.get(waiting.band)!.remove(waiting);
 		this.#byId.delete(waiting.request.requestId);
 		this.#byDeadline.remove(waiting);
 	}
--- a/packages/language/src/to-configuration-change/index.ts
+++ b/packages/language/src/to-configuration-change/index.ts
@@ -5,7 +5,7 @@
 
 import {
 	createFailureDomain, createNodeId, createRouteId, createServiceName, createTeamName,
-	defaultPriority, defaultRetryLimit, defaultTimeoutMilliseconds, highestPriority, InvalidInputError, lowestPriority, UnreachableError,
+	defaultPriority, defaultRetryLimit, defaultTimeoutMilliseconds, highestPriority, InvalidInputError, lowestRoutePriority, UnreachableError,
 	type Configuration, type ConfigurationChange, type DomainSettings, type KeyDigest, type KeyId, type Route, type UpstreamId,
 } from '@fireflyglade/model';
 import type {ChangeStatement, RouteStatementSettings} from '../types.js';
@@ -57,8 +57,8 @@
 
 function checkRouteSettings(settings: RouteStatementSettings): RouteChange {
 	const {service, teams, ...rest} = settings;
-	if (rest.priority !== undefined && (rest.priority < highestPriority || rest.priority > lowestPriority)) {
-		throw new InvalidInputError(`priority ${rest.priority} is not allowed: it takes ${highestPriority}, the most important, to ${lowestPriority}`);
+	if (rest.priority !== undefined && (rest.priority < highestPriority || rest.priority > lowestRoutePriority)) {
+		throw new InvalidInputError(`priority ${rest.priority} is not allowed: it takes ${highestPriority}, the most important, to ${lowestRoutePriority}`);
 	}
 
 	return {
--- a/packages/model/src/call-context/index.ts
+++ b/packages/model/src/call-context/index.ts
@@ -12,7 +12,7 @@
 	readonly rootId: RequestId;
 	/** Absent on a route open to all. */
 	readonly team?: TeamName | undefined;
-	/** From 0, the most important, to 9. */
+	/** From 0, the most important, to 99. */
 	readonly priority: number;
 	/** Monotonic milliseconds of this process's clock. */
 	readonly deadline: number;
--- a/packages/model/src/configuration/index.ts
+++ b/packages/model/src/configuration/index.ts
@@ -18,7 +18,7 @@
 	readonly burst: number;
 	/** True if the team's requests are not limited; rate and burst then only weigh it against other teams. */
 	readonly isUnlimited?: boolean;
-	/** Takes the place of the priority of each route. */
+	/** Decides before the priority of each route, which then only orders the requests of teams that are as important. */
 	readonly priority?: number;
 };
 
--- a/packages/model/src/constants/index.ts
+++ b/packages/model/src/constants/index.ts
@@ -16,8 +16,10 @@
 export const keyFreshnessMilliseconds = 5000;
 /** The most important priority; smaller numbers are more important. */
 export const highestPriority = 0;
-/** The least important priority. */
-export const lowestPriority = 9;
+/** The least important priority that a route or a team may have. */
+export const lowestRoutePriority = 9;
+/** The least important priority of a request: that of its team decides, and that of its route between those of equal teams. */
+export const lowestPriority = 99;
 /** Priority of a route that names none. */
 export const defaultPriority = 5;
 /** Milliseconds that a call may take where neither caller nor route says otherwise. */
--- a/packages/model/src/gate-level/index.ts
+++ b/packages/model/src/gate-level/index.ts
@@ -14,7 +14,7 @@
 	readonly limit: number;
 	/** Requests that wait at the gate. */
 	readonly queueLength: number;
-	/** The gate sheds requests of this priority and of less important ones; 10 if it sheds none. */
+	/** The gate sheds requests of this priority and of less important ones; 100 if it sheds none. */
 	readonly shedPriority: number;
 };
 
--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -377,6 +377,7 @@
 			side: this.#options.policy.side,
 			...(terms.team === undefined ? {} : {team: terms.team}),
 			route: route.id,
+			priority: terms.priority,
 			method: request.method!,
 			status: end.kind === 'cancelled' ? cancelledStatus : end.status,
 			durationMilliseconds: clock.now() - start,
--- a/packages/node/src/_lib/caller-policy/index.ts
+++ b/packages/node/src/_lib/caller-policy/index.ts
@@ -5,7 +5,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {
-	highestPriority, maximumCallDepth,
+	highestPriority, lowestRoutePriority, maximumCallDepth,
 	type Configuration, type Problem, type Route, type Team, type TeamName,
 } from '@fireflyglade/model';
 import {productCallInterface, type CallInterface} from '../../call-interface/index.js';
@@ -71,7 +71,7 @@
 			kind: 'granted',
 			...(identity.kind === 'team' ? {team: identity.team} : {}),
 			...(identity.secret === undefined ? {} : {secret: identity.secret}),
-			priority: team?.priority ?? route.priority,
+			priority: priorityOf(team, route),
 			deadline: now + timeoutMilliseconds,
 			attempts: route.retryLimit + 1,
 			depth: 0,
@@ -101,3 +101,9 @@
 		return new KeyTable(configuration, id => this.#fleet.isKeyWithdrawn(id));
 	}
 }
+
+/** The team decides; its requests, and those of teams that are as important, keep the order of their routes. */
+function priorityOf(team: Team | undefined, route: Route): number {
+	const first = Math.min(lowestRoutePriority, team?.priority ?? route.priority);
+	return (first * (lowestRoutePriority + 1)) + Math.min(lowestRoutePriority, route.priority);
+}
--- /dev/null
+++ b/packages/node/src/_lib/caller-policy/test.ts
@@ -0,0 +1,48 @@
+import type {IncomingMessage} from 'node:http';
+import {expect} from 'chai';
+import type {Team} from '@fireflyglade/model';
+import {
+	createConfiguration, createRoute, red, secretOfBlue, secretOfRed, SharedFleet,
+} from '../../test-support/index.js';
+import {CallerPolicy} from './index.js';
+
+const lookup = createRoute('GET', '/lookup', {priority: 2});
+const schedule = createRoute('GET', '/schedule', {priority: 1});
+const signoff = createRoute('POST', '/signoff', {priority: 0});
+
+/** A policy where the teams have the given priorities, by which their requests are ordered first. */
+function createPolicy(priorities: {readonly red?: number; readonly blue?: number}): CallerPolicy {
+	const configuration = createConfiguration([lookup, schedule, signoff]);
+	const teams = new Map([...configuration.teams].map(([name, team]): [typeof name, Team] => {
+		const priority = name === red ? priorities.red : priorities.blue;
+		return [name, priority === undefined ? team : {...team, priority}];
+	}));
+	return new CallerPolicy(new SharedFleet({...configuration, teams}).viewOf('node-1'));
+}
+
+function priorityOf(policy: CallerPolicy, secret: string, route: typeof lookup): number {
+	const request = {url: route.path, headers: {authorization: `Bearer ${secret}`}} as unknown as IncomingMessage;
+	const terms = policy.decide(request, route, 1000, 0);
+	expect(terms.kind).to.equal('granted');
+	return terms.kind === 'granted' ? terms.priority : Number.NaN;
+}
+
+describe('CallerPolicy', () => {
+	it('keeps the order of routes where all teams are as important, so that lookups don\'t displace schedules', () => {
+		const policy = createPolicy({red: 1, blue: 1});
+		expect(priorityOf(policy, secretOfRed, signoff)).to.be.lessThan(priorityOf(policy, secretOfRed, schedule));
+		expect(priorityOf(policy, secretOfRed, schedule)).to.be.lessThan(priorityOf(policy, secretOfBlue, lookup));
+		expect(priorityOf(policy, secretOfBlue, schedule)).to.equal(priorityOf(policy, secretOfRed, schedule));
+	});
+
+	it('lets the priority of the team decide before that of the route', () => {
+		const policy = createPolicy({red: 1, blue: 2});
+		expect(priorityOf(policy, secretOfRed, lookup)).to.be.lessThan(priorityOf(policy, secretOfBlue, signoff));
+	});
+
+	it('takes the route\'s priority for a team that has none', () => {
+		const policy = createPolicy({red: 1});
+		expect(priorityOf(policy, secretOfBlue, signoff)).to.be.lessThan(priorityOf(policy, secretOfRed, signoff));
+		expect(priorityOf(policy, secretOfRed, lookup)).to.be.lessThan(priorityOf(policy, secretOfBlue, lookup));
+	});
+});
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -35,6 +35,8 @@
 	readonly side: CallSide;
 	readonly team?: TeamName;
 	readonly route?: RouteId;
+	/** From 0, the most important, to 99. */
+	readonly priority?: number;
 	readonly method: string;
 	readonly status: number;
 	readonly durationMilliseconds: number;
--- a/packages/state/src/_lib/find-replacement-refusal.ts
+++ b/packages/state/src/_lib/find-replacement-refusal.ts
@@ -3,7 +3,7 @@
 */
 
 import {
-	highestPriority, lowestPriority,
+	highestPriority, lowestRoutePriority,
 	type Configuration, type ConfigurationReplacement, type KeyDigest, type Route, type ServiceName, type TeamName,
 } from '@fireflyglade/model';
 import type {ChangeRefusal} from '../types.js';
@@ -85,8 +85,8 @@
 		return 'no service has a weight above 0';
 	}
 
-	if (!Number.isSafeInteger(route.priority) || route.priority < highestPriority || route.priority > lowestPriority) {
-		return `priority is a whole number from ${highestPriority} to ${lowestPriority}`;
+	if (!Number.isSafeInteger(route.priority) || route.priority < highestPriority || route.priority > lowestRoutePriority) {
+		return `priority is a whole number from ${highestPriority} to ${lowestRoutePriority}`;
 	}
 
 	if (!Number.isSafeInteger(route.retryLimit) || route.retryLimit < 0) {
--- a/packages/state/src/_lib/find-route-fault.ts
+++ b/packages/state/src/_lib/find-route-fault.ts
@@ -5,7 +5,7 @@
 */
 
 import {
-	createRouteId, highestPriority, lowestPriority, type Configuration, type Route,
+	createRouteId, highestPriority, lowestRoutePriority, type Configuration, type Route,
 } from '@fireflyglade/model';
 
 /** The most retries that a route may allow. */
@@ -55,8 +55,8 @@
 }
 
 function findLimitFault(route: Route): string | undefined {
-	if (!isWholeNumber(route.priority, highestPriority, lowestPriority)) {
-		return `priority is a whole number from ${highestPriority} to ${lowestPriority}`;
+	if (!isWholeNumber(route.priority, highestPriority, lowestRoutePriority)) {
+		return `priority is a whole number from ${highestPriority} to ${lowestRoutePriority}`;
 	}
 
 	if (!isWholeNumber(route.retryLimit, 0, maximumRetryLimit)) {
