Leave a slot free of upstreams that slow down when all are taken

The gate filled every slot it was told of, so that a burst which took the last slot made all work slower, and the queue kept the slot taken from then on.

While all slots are taken, the gate now measures how long runs take, then leaves one in twenty free for as many runs, and keeps to what did more work in the same time; it measures again after 8 to 40 s. With few slots nothing changes.

Ruled out: the adaptive limit, which probes with half of the slots, costs more than what is to be gained here. A fixed part of the slots would cost upstreams that don't slow down a twentieth for good.

--- a/packages/admission/src/announced-limit/index.ts
+++ b/packages/admission/src/announced-limit/index.ts
@@ -4,10 +4,11 @@
 
 Answers the burst against such an upstream: more at once than its slots would
 only wait inside it, where no order of importance holds. So as many requests run
-as it has slots. An upstream that refuses work all the same has fewer: the limit
-falls at once and comes back slowly.
+as it has slots, or a few fewer if it does more work so. An upstream that refuses work all
+the same has fewer: the limit falls at once and comes back slowly.
 */
 
+import {FullSlots} from '../_lib/full-slots/index.js';
 import type {ConcurrencyLimit, RunSample} from '../types.js';
 
 /** Part of the limit that is left after a refusal by the upstream. */
@@ -29,21 +30,21 @@
 
 /** A limit at the announced slots, lowered while the upstream refuses. */
 export class AnnouncedLimit implements ConcurrencyLimit {
-	#slots: number;
+	readonly #slots: FullSlots;
 	#part = 1;
 	#changedAt: number;
 
 	constructor(options: AnnouncedLimitOptions) {
-		this.#slots = Math.max(1, Math.floor(options.slots));
+		this.#slots = new FullSlots(Math.max(1, Math.floor(options.slots)), options.now);
 		this.#changedAt = options.now;
 	}
 
 	current(now: number): number {
-		return Math.max(1, Math.floor(this.#slots * this.#partAt(now)));
+		return Math.max(1, Math.floor(this.#slots.usable * this.#partAt(now)));
 	}
 
-	setSlots(slots: number): void {
-		this.#slots = Math.max(1, Math.floor(slots));
+	setSlots(slots: number, now: number): void {
+		this.#slots.setSlots(Math.max(1, Math.floor(slots)), now);
 	}
 
 	begin(): void {
@@ -51,6 +52,10 @@
 	}
 
 	finish(sample: RunSample, _inFlight: number, now: number): void {
+		if (sample.outcome === 'success' && sample.inFlightAtStart !== undefined) {
+			this.#slots.record(sample.startedAt, sample.inFlightAtStart, now);
+		}
+
 		if (sample.outcome !== 'refused' || now - this.#changedAt < stepDownMilliseconds) {
 			return;
 		}
--- a/packages/admission/src/announced-limit/test.ts
+++ b/packages/admission/src/announced-limit/test.ts
@@ -29,7 +29,7 @@
 
 	it('takes over other slots', () => {
 		const limit = new AnnouncedLimit({slots: 40, now: 0});
-		limit.setSlots(20);
+		limit.setSlots(20, 0);
 		expect(limit.current(0)).to.equal(20);
 	});
 });
--- a/packages/admission/src/gate-admission/index.ts
+++ b/packages/admission/src/gate-admission/index.ts
@@ -35,6 +35,8 @@
 type Running = {
 	readonly startedAt: number;
 	readonly priority: number;
+	/** Requests that ran when it started, itself counted. */
+	readonly inFlight: number;
 };
 
 /** The admission of one gate. */
@@ -84,7 +86,9 @@
 		}
 
 		this.#running.delete(requestId);
-		this.#limit.finish({startedAt: running.startedAt, outcome, queuedBelowMilliseconds}, this.#running.size, now);
+		this.#limit.finish({
+			startedAt: running.startedAt, outcome, queuedBelowMilliseconds, inFlightAtStart: running.inFlight,
+		}, this.#running.size, now);
 		if (outcome === 'success' || outcome === 'timeout') {
 			this.#estimate.record(running.priority, now - running.startedAt, now);
 		}
@@ -179,7 +183,7 @@
 	}
 
 	#run(request: AdmissionRequest, now: number): AdmissionDecision {
-		this.#running.set(request.requestId, {startedAt: now, priority: request.priority});
+		this.#running.set(request.requestId, {startedAt: now, priority: request.priority, inFlight: this.#running.size + 1});
 		this.#limit.begin(this.#running.size, now);
 		return {kind: 'run', requestId: request.requestId};
 	}
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -12,7 +12,7 @@
 	readonly rootId: RequestId;
 	/** Absent on a route open to all; such requests share one place in the fairness between teams. */
 	readonly team?: TeamName | undefined;
-	/** From 0, the most important, to 9. */
+	/** From 0, the most important, to 99. */
 	readonly priority: number;
 	/** Monotonic milliseconds. */
 	readonly deadline: number;
@@ -79,6 +79,8 @@
 	readonly outcome: RunOutcome;
 	/** Milliseconds that its calls waited at gates below. */
 	readonly queuedBelowMilliseconds?: number;
+	/** Requests that ran when it started, itself counted. */
+	readonly inFlightAtStart?: number;
 };
 
 /** How many requests the upstream may run at once. */
