Let requests in by the waits that gates tell, not by what has failed

Cause: an entry node heard of a lack of room by failures alone, after the work was wasted; a failure of any kind for lack of room or time lowered the least important route, whether or not it goes through the crowded service and however little of it it takes; and every share came back by time alone.

Each gate now tells, beside every answer, the longest wait that calls meet at it or that its upstream's calls were told below, and the service. An entry node turns away a part of what the routes through that service occupy, by how long the wait is, the least important first and never what occupies little.

The replay of a burst in that test gives way to one of the whole graph with real admissions at 15 gates and 15 entry nodes, with bounds for each kind of request at 1.12, 1.6 and 2.3 times the usual load. The note's test now also asks that malformed notes are refused.

So it is slower at the begin of a burst, and better after.

Ruled out as the cause of the shortage by the replay: sequences of waits that pass the routes' timeouts (few calls end so once the queue is short).

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -15,7 +15,7 @@
 } from '@fireflyglade/model';
 import {
 	backoffDelay, lowerAttempts, splitAttempts,
-	type AttemptOutcome, type AttemptSplit, type EntryThrottle, type RetryBudgets, type RootOutcome, type RootRoute, type RootShare, type Routing, type ThrottleKey,
+	type AttemptOutcome, type AttemptSplit, type Crowding, type EntryThrottle, type RetryBudgets, type RootRoute, type RootShare, type Routing, type ThrottleKey,
 } from '@fireflyglade/routing';
 import type {
 	AnswerFlow, AnswerHead, HeaderFields, RequestBody,
@@ -63,8 +63,8 @@
 	readonly throttle?: EntryThrottle;
 	/** Lets in as much as the graph has room for, the important first; all comes in if it is absent. */
 	readonly rootShare?: RootShare;
-	/** Called if a call of the upstream beside the node fails for lack of room. */
-	readonly onLackOfRoomBelow?: () => void;
+	/** Called with the wait that a call of the upstream beside the node was told below. */
+	readonly onCrowdingBelow?: (crowding: Crowding) => void;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -185,6 +185,7 @@
 
 		this.#level = note.level;
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
+		this.#hearCrowding(note);
 		this.#remaining = lowerAttempts(this.#split, {kind: 'ran', unspent: note.retriesLeft});
 		if (retryableStatuses.has(head.status) && this.#call.route.idempotent && this.#hasRoomBelow() && this.#takeRetry()) {
 			this.#isDiscarding = true;
@@ -192,7 +193,7 @@
 			return;
 		}
 
-		this.#recordAnswer(head.status, note);
+		this.#recordAnswer(head.status);
 		this.#isAnswering = true;
 		this.#receiver.onHead(head, flow);
 	}
@@ -220,6 +221,7 @@
 		this.#hasArrived = problem.outcome === 'unknown' || note.hasArrived === true;
 		this.#level = note.level;
 		this.#queuedMilliseconds += note.queuedMilliseconds ?? 0;
+		this.#hearCrowding(note);
 		this.#remaining = lowerAttempts(this.#split, problem.outcome === 'not-run' ? {kind: 'not-run'} : {kind: 'ran', unspent: note.retriesLeft});
 		this.#mayHaveRun ||= problem.outcome === 'unknown';
 		this.#lastProblem = problem;
@@ -264,28 +266,28 @@
 		return rootShare === undefined || rootShare.isOpen(clock.now());
 	}
 
-	/** A failure of an upstream whose own calls found room is its own, and says nothing of the graph. */
-	#recordAnswer(status: number, note: GateNote): void {
-		if (status < firstFailureStatus) {
-			this.#recordRoom('served');
-			return;
-		}
-
-		if (status === timeoutStatus || note.lacksRoom === true) {
-			this.#recordRoom('lacked-room');
+	/** How long a request takes tells how much of the graph it occupies. */
+	#recordAnswer(status: number): void {
+		const {rootShare, clock} = this.#options;
+		if (status < firstFailureStatus && this.#call.depth === 0) {
+			rootShare?.recordServed(this.#rootRoute(), clock.now() - this.#startedAt, clock.now());
 		}
 	}
 
-	#recordRoom(outcome: RootOutcome): void {
-		const {rootShare, clock, onLackOfRoomBelow} = this.#options;
-		if (this.#call.depth === 0) {
-			rootShare?.record(this.#rootRoute(), outcome, this.#startedAt, clock.now());
+	/** The waits that are told beside answers of any depth show how full the graph is. */
+	#hearCrowding({crowding}: GateNote): void {
+		const {rootShare, clock, onCrowdingBelow} = this.#options;
+		if (crowding === undefined) {
 			return;
 		}
 
-		if (outcome === 'lacked-room') {
-			onLackOfRoomBelow?.();
+		rootShare?.hear(crowding, clock.now());
+		if (this.#call.depth > 0) {
+			onCrowdingBelow?.(crowding);
+			return;
 		}
+
+		rootShare?.link(this.#rootRoute(), crowding, clock.now());
 	}
 
 	/** Callers that were refused together don't come back together. */
@@ -452,20 +454,12 @@
 			return;
 		}
 
-		if (lackingRoomCodes.has(problem.code)) {
-			this.#recordRoom('lacked-room');
-		}
-
 		this.#end();
 		this.#receiver.onProblem(this.#mayHaveRun ? {...problem, outcome: 'unknown'} : problem);
 	}
 }
 
 const firstFailureStatus = 500;
-/** Answer of an upstream that had not enough time. */
-const timeoutStatus = 504;
-/** Failures for lack of room or of time. */
-const lackingRoomCodes: ReadonlySet<ProblemCode> = new Set(['overloaded', 'queue-timeout', 'deadline-exceeded']);
 const noTargetRetryMilliseconds = 1000;
 const throttledRetryMilliseconds = 500;
 /** Time after the deadline for the gate itself to say what became of the call. */
--- a/packages/node/src/_lib/call-attempts/test.ts
+++ b/packages/node/src/_lib/call-attempts/test.ts
@@ -1,11 +1,15 @@
 import {
-	createFailureDomain, createNodeId, createServiceName, createUpstreamId, SeededRandom, SystemClock, type RequestId, type Target,
+	createFailureDomain, createNodeId, createServiceName, createUpstreamId, ManualClock, SeededRandom, SystemClock, type RequestId, type Target,
 } from '@fireflyglade/model';
-import {ServiceRetryBudgets, TargetRouting} from '@fireflyglade/routing';
+import {
+	RootShare, ServiceRetryBudgets, TargetRouting, type Crowding,
+} from '@fireflyglade/routing';
+import type {AnswerFlow, AnswerHead} from '@fireflyglade/transport';
 import {expect} from 'chai';
 import {createRoute} from '../../test-support/index.js';
+import type {CallReceiver, GateCall} from '../call-types.js';
 import {emptyBody} from '../request-body/index.js';
-import {CallAttempts} from './index.js';
+import {CallAttempts, type EntryCall} from './index.js';
 
 const node = createNodeId('node-1');
 const domain = createFailureDomain('here');
@@ -17,6 +21,26 @@
 	};
 }
 
+function createCall(name: string, change: Partial<EntryCall> = {}): EntryCall {
+	const route = createRoute('GET', '/orders');
+	return {
+		requestId: name as RequestId,
+		rootId: name as RequestId,
+		route,
+		service: route.service,
+		priority: 5,
+		deadline: 10_000,
+		maximumAttempts: 3,
+		depth: 0,
+		traceparent: '',
+		method: 'GET',
+		path: '/orders',
+		headers: [],
+		body: emptyBody,
+		...change,
+	};
+}
+
 describe('CallAttempts', () => {
 	it('cancels the attempt that runs when its caller goes away', () => {
 		let cancelled = 0;
@@ -34,21 +58,7 @@
 			// The call is cancelled before any answer.
 		};
 
-		const attempts = new CallAttempts({
-			requestId: 'call-1' as RequestId,
-			rootId: 'call-1' as RequestId,
-			route: createRoute('GET', '/orders'),
-			service: createRoute('GET', '/orders').service,
-			priority: 5,
-			deadline: clock.now() + 10_000,
-			maximumAttempts: 3,
-			depth: 0,
-			traceparent: '',
-			method: 'GET',
-			path: '/orders',
-			headers: [],
-			body: emptyBody,
-		}, {
+		const attempts = new CallAttempts(createCall('call-1', {deadline: clock.now() + 10_000}), {
 			onHead: nothing, onData: nothing, onEnd: nothing, onProblem: nothing, onBroken: nothing,
 		}, {
 			node, ownGate: runner, remoteGate: () => runner, routing, retryBudgets: new ServiceRetryBudgets(), clock, random: new SeededRandom(1),
@@ -58,4 +68,49 @@
 		attempts.cancel();
 		expect(cancelled).to.equal(1);
 	});
+
+	for (const depth of [0, 1]) {
+		it(`takes note of the wait that is told beside an answer at depth ${depth}, and tells it above if the call is the upstream's`, () => {
+			const crowding: Crowding = {service: createServiceName('stock'), waitMilliseconds: 250};
+			const clock = new ManualClock();
+			const routing = new TargetRouting({domain, node});
+			routing.setTargets([createTarget()], 0);
+			const rootShare = new RootShare();
+			const told: Crowding[] = [];
+			const nothing = (): void => {
+				// The answers don't matter.
+			};
+
+			const head: AnswerHead = {status: 200, headers: {}};
+			const flow: AnswerFlow = {pause: nothing, resume: nothing};
+			const runner = {
+				run(_call: GateCall, receiver: CallReceiver) {
+					clock.advance(10);
+					receiver.onHead(head, flow, {retriesLeft: 0, crowding});
+					receiver.onEnd({});
+					return {cancel: nothing};
+				},
+			};
+			for (let count = 0; count < 30; count++) {
+				new CallAttempts(createCall(`call-${count}`, {depth}), {
+					onHead: nothing, onData: nothing, onEnd: nothing, onProblem: nothing, onBroken: nothing,
+				}, {
+					node,
+					ownGate: runner,
+					remoteGate: () => runner,
+					routing,
+					retryBudgets: new ServiceRetryBudgets(),
+					rootShare,
+					onCrowdingBelow(heard) {
+						told.push(heard);
+					},
+					clock,
+					random: new SeededRandom(1),
+				}).start();
+			}
+
+			expect(told).to.deep.equal(depth === 0 ? [] : Array.from({length: 30}, () => crowding));
+			expect(rootShare.isOpen(clock.now())).to.equal(depth > 0);
+		});
+	}
 });
--- a/packages/node/src/_lib/call-types.ts
+++ b/packages/node/src/_lib/call-types.ts
@@ -6,6 +6,7 @@
 import type {
 	CallContext, GateLevel, Problem, ServiceName,
 } from '@fireflyglade/model';
+import type {Crowding} from '@fireflyglade/routing';
 import type {
 	AnswerFlow, AnswerHead, HeaderFields, OutgoingBody,
 } from '@fireflyglade/transport';
@@ -38,8 +39,8 @@
 	readonly queuedMilliseconds?: number | undefined;
 	/** True if the request came to the upstream, which refused it unrun. */
 	readonly hasArrived?: boolean | undefined;
-	/** True if calls of the upstream lacked room lately, so that a failure of it is one of the graph. */
-	readonly lacksRoom?: boolean | undefined;
+	/** The longest wait that calls met lately at the gate and at those to which its upstream's calls go. */
+	readonly crowding?: Crowding | undefined;
 };
 
 /** Takes the answer to a call. `onEnd`, `onProblem` or `onBroken` is called once, as the last of all. */
--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -3,7 +3,7 @@
 runs at the upstream and ends. Each ending goes one way through `#finish`.
 */
 
-import type {AdmissionDecision, RunOutcome} from '@fireflyglade/admission';
+import type {AdmissionDecision, RefusalReason, RunOutcome} from '@fireflyglade/admission';
 import {
 	UnreachableError,
 	type Problem, type ProblemCode, type Timer,
@@ -27,6 +27,8 @@
 type Stage = 'new' | 'waiting' | 'claiming' | 'running' | 'answering' | 'ended';
 
 const firstFailureStatus = 500;
+/** Milliseconds that count as the wait of a request which finds the queue full. */
+const fullQueueMilliseconds = 250;
 const claimRetryMilliseconds = 1000;
 const claimCommitWaitMilliseconds = 2000;
 /** Milliseconds after which an upstream that refused a request may have room again. */
@@ -90,6 +92,7 @@
 			}
 
 			case 'refuse': {
+				this.#noteRefusal(decision.reason);
 				this.#endNotRun(refusalProblem(decision.reason, decision.retryAfterMilliseconds));
 				return;
 			}
@@ -215,10 +218,21 @@
 		this.#receiver.onProblem(failureProblem(failure.cause), this.#note(0));
 	}
 
+	/** A request that found the queue full would have waited at least as long as all that a gate lets wait. */
+	#noteRefusal(reason: RefusalReason): void {
+		const waited = this.#now() - this.#startedAt;
+		this.#noteWait(reason === 'queue-full' || reason === 'shed' ? Math.max(waited, fullQueueMilliseconds) : waited);
+	}
+
+	#noteWait(waitMilliseconds: number): void {
+		this.#gate.hearCrowding({service: this.#upstream!.announced.service, waitMilliseconds});
+	}
+
 	#admit(): void {
 		const {job, context} = this.call;
 		this.#admittedAt = this.#now();
-		this.#gate.outcomes.record(context.requestId, 'running', this.#now());
+		this.#noteWait(this.#admittedAt - this.#startedAt);
+		this.#gate.outcomes.record(context.requestId, 'running', this.#admittedAt);
 		this.#startDeadline();
 		if (job === undefined) {
 			this.#start();
@@ -483,7 +497,7 @@
 		const waited = this.#startedAt === 0 ? 0 : (this.#admittedAt ?? now) - this.#startedAt;
 		const queuedMilliseconds = waited + (this.#running?.queuedMilliseconds ?? 0);
 		return {
-			level, hasArrived: this.#isRefusedByUpstream, lacksRoom: this.#gate.lacksRoomBelow(now), retriesLeft, queuedMilliseconds,
+			level, hasArrived: this.#isRefusedByUpstream, crowding: this.#gate.crowding(now), retriesLeft, queuedMilliseconds,
 		};
 	}
 
--- a/packages/node/src/_lib/peer-messages/index.ts
+++ b/packages/node/src/_lib/peer-messages/index.ts
@@ -181,18 +181,18 @@
 
 /** Bits of the third number of a note. */
 const arrivedBit = 1;
-const lacksRoomBit = 2;
 
-/** Retries left, milliseconds queued, bits, and the gate's level where it is known. */
-type WireNote = readonly [number, number, number, ...number[]];
+/** Retries left, milliseconds queued, bits, the most crowded service or 0, milliseconds waited there, and the gate's level where it is known. */
+type WireNote = readonly [number, number, number, ServiceName | 0, number, ...number[]];
 
 /** Writes what rides back beside an answer. */
-export function writeNote({level, retriesLeft, queuedMilliseconds, hasArrived, lacksRoom}: GateNote): WireNote {
+export function writeNote({level, retriesLeft, queuedMilliseconds, hasArrived, crowding}: GateNote): WireNote {
 	const queued = Math.round(queuedMilliseconds ?? 0);
-	const bits = (hasArrived === true ? arrivedBit : 0) + (lacksRoom === true ? lacksRoomBit : 0);
+	const bits = hasArrived === true ? arrivedBit : 0;
+	const wait = Math.round(crowding?.waitMilliseconds ?? 0);
 	return level === undefined
-		? [retriesLeft, queued, bits]
-		: [retriesLeft, queued, bits, level.inFlight, level.limit, level.queueLength, level.shedPriority];
+		? [retriesLeft, queued, bits, crowding?.service ?? 0, wait]
+		: [retriesLeft, queued, bits, crowding?.service ?? 0, wait, level.inFlight, level.limit, level.queueLength, level.shedPriority];
 }
 
 /**
@@ -201,16 +201,21 @@
 @throws {InvalidInputError} The value is not a note.
 */
 export function readNote(value: unknown): GateNote {
-	if (!Array.isArray(value) || !areCounts(value)) {
+	if (!Array.isArray(value)) {
+		throw new InvalidInputError('the note of a gate is malformed');
+	}
+
+	const [retriesLeft, queuedMilliseconds, bits, crowded, waitMilliseconds, ...level] = value as unknown as WireNote;
+	if (!areCounts([retriesLeft, queuedMilliseconds, bits, waitMilliseconds, ...level]) || !(crowded === 0 || (typeof crowded === 'string' && crowded !== ''))) {
 		throw new InvalidInputError('the note of a gate is malformed');
 	}
 
-	const [retriesLeft, queuedMilliseconds, bits, inFlight, limit, queueLength, shedPriority] = value as [number, number, number, number?, number?, number?, number?];
+	const [inFlight, limit, queueLength, shedPriority] = level;
 	return {
 		retriesLeft,
 		queuedMilliseconds,
-		hasArrived: bits % lacksRoomBit === arrivedBit,
-		lacksRoom: bits >= lacksRoomBit,
+		hasArrived: bits === arrivedBit,
+		crowding: crowded === 0 ? undefined : {service: crowded, waitMilliseconds},
 		level: inFlight === undefined || limit === undefined || queueLength === undefined || shedPriority === undefined
 			? undefined
 			: {
--- a/packages/node/src/_lib/peer-messages/test.ts
+++ b/packages/node/src/_lib/peer-messages/test.ts
@@ -67,15 +67,17 @@
 			retriesLeft: 2,
 			queuedMilliseconds: 31,
 			hasArrived: true,
-			lacksRoom: true,
+			crowding: {service: 'stock' as ServiceName, waitMilliseconds: 48},
 			level: {
 				inFlight: 1, limit: 4, queueLength: 2, shedPriority: 3,
 			},
 		};
 		expect(readNote(writeNote(note))).to.deep.equal(note);
 		expect(readNote(writeNote({retriesLeft: 0}))).to.deep.equal({
-			retriesLeft: 0, queuedMilliseconds: 0, hasArrived: false, lacksRoom: false, level: undefined,
+			retriesLeft: 0, queuedMilliseconds: 0, hasArrived: false, crowding: undefined, level: undefined,
 		});
-		expect(() => readNote('none')).to.throw(InvalidInputError);
+		for (const value of ['none', [], [1, 2, 0], [1, 2, 0, 7, 0], [1, 2, 0, '', 0], [1, 2, 0, 'stock', -1], [1, 2, 0, 0, 0, -1, 1, 1, 1]]) {
+			expect(() => readNote(value)).to.throw(InvalidInputError);
+		}
 	});
 });
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -116,8 +116,8 @@
 			throttle: new EntryThrottle(),
 			...(dependencies.sharesRoots === true && {
 				rootShare: new RootShare(),
-				onLackOfRoomBelow: () => {
-					this.#gate.noteLackOfRoomBelow();
+				onCrowdingBelow: crowding => {
+					this.#gate.hearCrowding(crowding);
 				},
 			}),
 			remoteGate: target => (this.#channelGates ?? this.#remoteGates).to(target),
--- a/packages/node/src/gate/index.ts
+++ b/packages/node/src/gate/index.ts
@@ -9,6 +9,7 @@
 	createUpstreamId,
 	type Clock, type GateLevel, type NodeId, type ServiceName, type TeamName, type Timer, type UpstreamId,
 } from '@fireflyglade/model';
+import {CrowdingBoard, type Crowding} from '@fireflyglade/routing';
 import {HttpSender, type OutcomeAnswer, type OutcomeQuestion} from '@fireflyglade/transport';
 import {productCallInterface, type CallInterface} from '../call-interface/index.js';
 import type {JobClaims, NodeObserver} from '../dependencies.js';
@@ -54,8 +55,6 @@
 };
 
 const tickMilliseconds = 10;
-/** Milliseconds for which a lack of room below explains a failure of the upstream. */
-const lackOfRoomMilliseconds = 1000;
 
 /** The gate of one node. */
 export class Gate implements CallRunner {
@@ -69,7 +68,7 @@
 	#ticker: Timer | undefined;
 	#weights: ReadonlyMap<TeamName, number> = new Map();
 	#isDraining = false;
-	#lackedRoomAt = Number.NEGATIVE_INFINITY;
+	readonly #crowding = new CrowdingBoard();
 
 	constructor(readonly options: GateOptions) {
 		this.callInterface = options.callInterface ?? productCallInterface;
@@ -142,14 +141,14 @@
 		}
 	}
 
-	/** A call of the upstream failed for lack of room below. */
-	noteLackOfRoomBelow(): void {
-		this.#lackedRoomAt = this.options.clock.now();
+	/** Takes note of what a request waited here, or of what a call of the upstream was told below. */
+	hearCrowding(crowding: Crowding): void {
+		this.#crowding.hear(crowding, this.options.clock.now());
 	}
 
-	/** True if calls of the upstream lacked room lately. */
-	lacksRoomBelow(now: number): boolean {
-		return now - this.#lackedRoomAt < lackOfRoomMilliseconds;
+	/** The longest wait that calls met lately here and below. */
+	crowding(now: number): Crowding | undefined {
+		return this.#crowding.worst(now);
 	}
 
 	/** Sets the weight of each team for the fairness between teams. */
--- a/packages/node/src/gate/test.ts
+++ b/packages/node/src/gate/test.ts
@@ -16,6 +16,7 @@
 } from '../test-support/index.js';
 import type {RunningNode} from '../create-node/index.js';
 import {OutcomeTable} from '../_lib/outcome-table/index.js';
+import type {GateNote} from '../_lib/call-types.js';
 import {Gate} from './index.js';
 
 const authorization = `Bearer ${secretOfRed}`;
@@ -399,10 +400,13 @@
 			service: createServiceName('stock'), address: '127.0.0.1:1', slots: 1, connections: 1,
 		});
 		const problems: Problem[] = [];
+		const notes: GateNote[] = [];
 		const nothing = (): void => {
 			// Nothing is answered.
 		};
 
+		gate.hearCrowding({service: createServiceName('yard'), waitMilliseconds: 70});
+
 		gate.run({
 			context: {
 				requestId: 'a.1.1' as RequestId, rootId: 'a.1' as RequestId, priority: 0, deadline: Number.MAX_SAFE_INTEGER, remainingAttempts: 1, depth: 0, traceparent: '',
@@ -419,11 +423,14 @@
 			onData: nothing,
 			onEnd: nothing,
 			onBroken: nothing,
-			onProblem(problem) {
+			onProblem(problem, note) {
 				problems.push(problem);
+				notes.push(note);
 			},
 		});
 		expect(problems.map(({code, outcome}) => ({code, outcome}))).to.deep.equal([{code: 'no-upstream', outcome: 'not-run'}]);
+		// What the upstream's calls waited below rides back beside every answer.
+		expect(notes.map(note => note.crowding)).to.deep.equal([{service: 'yard', waitMilliseconds: 70}]);
 		expect(gate.size).to.equal(0);
 	});
 });
--- /dev/null
+++ b/packages/node/src/test-support/call-graph-replay/test.ts
@@ -0,0 +1,113 @@
+import {expect} from 'chai';
+import {RootShare} from '@fireflyglade/routing';
+import {
+	replayCallGraph, type ReplayDoor, type ReplayKind, type ReplayLoad, type ReplayOptions, type ReplayResult, type ReplayService,
+} from './index.js';
+
+/** Four services, the deepest of which has the least room; it slows down while all of its slots are taken. */
+const services: readonly ReplayService[] = [
+	{name: 'reports', slots: 45, speeds: [0.5, 1, 1, 1, 1.5]},
+	{name: 'accounts', slots: 56, speeds: [0.7, 0.7, 1, 1.6]},
+	{name: 'register', slots: 75, speeds: [0.5, 1, 1.5]},
+	{
+		name: 'stock', slots: 19, speeds: [0.6, 1, 1.4], slownessWhenFull: 1.3,
+	},
+];
+
+const stock: ReplayKind = {
+	name: 'stock', service: 'stock', priority: 0, workMilliseconds: 40, timeoutMilliseconds: 700,
+};
+const register: ReplayKind = {
+	name: 'register', service: 'register', priority: 0, workMilliseconds: 15, timeoutMilliseconds: 2000, calls: {kind: stock, times: 4, together: false},
+};
+const check: ReplayKind = {
+	name: 'check', service: 'accounts', priority: 0, workMilliseconds: 15, timeoutMilliseconds: 2500, calls: {kind: register, times: 1, together: false},
+};
+const lookup: ReplayKind = {
+	name: 'lookup', service: 'reports', priority: 12, workMilliseconds: 160, timeoutMilliseconds: 1000, calls: {kind: check, times: 2, together: true},
+};
+const signoff: ReplayKind = {
+	name: 'signoff', service: 'accounts', priority: 10, workMilliseconds: 210, timeoutMilliseconds: 1200, calls: {kind: register, times: 2, together: true},
+};
+const order: ReplayKind = {
+	name: 'order', service: 'register', priority: 10, workMilliseconds: 110, timeoutMilliseconds: 1200,
+};
+const schedule: ReplayKind = {
+	name: 'schedule', service: 'stock', priority: 11, workMilliseconds: 64, timeoutMilliseconds: 800,
+};
+
+const loads: readonly ReplayLoad[] = [
+	{kind: lookup, perSecond: 95, aimMilliseconds: 1000},
+	{kind: signoff, perSecond: 45, aimMilliseconds: 1200},
+	{kind: order, perSecond: 35, aimMilliseconds: 300},
+	{kind: schedule, perSecond: 35, aimMilliseconds: 200},
+];
+
+function createDoor(random: Parameters<ReplayOptions['createDoor']>[0]): ReplayDoor {
+	const share = new RootShare();
+	return {
+		admits: (route, now) => share.admits(route, now, random),
+		hear(crowding, now) {
+			share.hear(crowding, now);
+		},
+		ended(route, {isServed, admittedAt, crowding}, now) {
+			if (isServed) {
+				share.recordServed(route, now - admittedAt, now);
+			}
+
+			if (crowding !== undefined) {
+				share.link(route, crowding, now);
+			}
+		},
+	};
+}
+
+function run(strength: number, seed: number): ReplayResult {
+	return replayCallGraph({
+		services, loads, entryNodes: 15, strength: () => strength, milliseconds: 20_000, countedFrom: 5000, countedUntil: 18_000, seed, createDoor,
+	});
+}
+
+/** Part of the requests of a kind that were served. */
+function served({figures}: ReplayResult, {name}: ReplayKind): number {
+	const {served: count, asked} = figures.get(name)!;
+	return count / asked;
+}
+
+/** Part of the requests of a kind that were served in time. */
+function inAim({figures}: ReplayResult, {name}: ReplayKind): number {
+	const {inAim: count, asked} = figures.get(name)!;
+	return count / asked;
+}
+
+describe('Call graph whose deepest service is full', () => {
+	for (const seed of [1, 2]) {
+		it(`serves nearly all while the slots suffice if one of them is left free (seed ${seed})`, () => {
+			const result = run(1.12, seed);
+			expect(served(result, signoff)).to.be.greaterThan(0.97);
+			expect(served(result, order)).to.be.greaterThan(0.97);
+			expect(inAim(result, schedule)).to.be.greaterThan(0.93);
+			expect(served(result, lookup)).to.be.greaterThan(0.9);
+		}).timeout(20_000);
+
+		it(`serves the important near whole and starves nobody at 1.6 times the load (seed ${seed})`, () => {
+			const result = run(1.6, seed);
+			expect(served(result, signoff)).to.be.greaterThan(0.92);
+			expect(served(result, order)).to.be.greaterThan(0.97);
+			expect(inAim(result, schedule)).to.be.greaterThan(0.93);
+			expect(served(result, lookup)).to.be.greaterThan(0.4);
+			expect(result.used.get('stock')).to.be.greaterThan(0.9);
+			expect(result.useful.get('stock')).to.be.greaterThan(0.9);
+		}).timeout(20_000);
+
+		it(`serves each kind a quarter as often as all at least at 2.3 times the load (seed ${seed})`, () => {
+			const result = run(2.3, seed);
+			expect(served(result, signoff)).to.be.greaterThan(0.75);
+			expect(served(result, order)).to.be.greaterThan(0.97);
+			expect(inAim(result, schedule)).to.be.greaterThan(0.85);
+			expect(served(result, lookup)).to.be.greaterThan(0.165);
+			expect(result.used.get('stock')).to.be.greaterThan(0.9);
+			expect(result.useful.get('stock')).to.be.greaterThan(0.83);
+		}).timeout(20_000);
+	}
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 
 export * from './backoff-delay/index.js';
 export * from './choose-subset/index.js';
+export * from './crowding-board/index.js';
 export * from './entry-throttle/index.js';
 export * from './node-retry-budget/index.js';
 export * from './root-share/index.js';
