--- /dev/null
+++ b/packages/node/src/broken-answers/test.ts
@@ -0,0 +1,81 @@
+import type {Socket} from 'node:net';
+import {expect} from 'chai';
+import {
+	createRoute, exchangeRaw, secretOfRed, TestFleet,
+	type RecordingUpstream,
+} from '../test-support/index.js';
+import type {RunningNode} from '../create-node/index.js';
+
+const fields = `Host: a\r\nConnection: close\r\nAuthorization: Bearer ${secretOfRed}\r\n`;
+const framedRequest = `POST /orders HTTP/1.1\r\n${fields}Content-Length: 4\r\n\r\nwood`;
+const streamedRequest = `POST /orders HTTP/1.1\r\n${fields}Transfer-Encoding: chunked\r\n\r\n4\r\nwood\r\n0\r\n\r\n`;
+const unframedHead = 'HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n';
+const lastChunk = '0\r\n\r\n';
+
+/** Resets a connection without ending it first, as `resetAndDestroy` does while a socket can be written to. */
+function resetAtOnce(socket: Socket): void {
+	Object.assign(socket, {writable: false});
+	socket.resetAndDestroy();
+	socket.destroy();
+}
+
+describe('an answer without a length, through entry and gate', () => {
+	let fleet: TestFleet;
+	let entry: RunningNode;
+	let upstream: RecordingUpstream;
+
+	before(async () => {
+		fleet = new TestFleet([createRoute('POST', '/orders', {retryLimit: 1})]);
+		entry = await fleet.startNode('entry');
+		upstream = await fleet.startUpstream(await fleet.startNode('gate'));
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	/** Answers once the request has been read. */
+	function answerBy(answer: (socket: Socket) => void): void {
+		upstream.handler = message => {
+			message.resume();
+			message.on('end', () => {
+				answer(message.socket);
+			});
+		};
+	}
+
+	async function expectWhole(request: string): Promise<void> {
+		answerBy(socket => {
+			socket.end(`${unframedHead}whole`);
+		});
+		const answer = await exchangeRaw(entry.addresses.callers, request);
+		expect(answer).to.include('whole');
+		expect(answer.endsWith(lastChunk), answer).to.equal(true);
+	}
+
+	async function expectBroken(request: string): Promise<void> {
+		answerBy(socket => {
+			socket.write(`${unframedHead}part`);
+			resetAtOnce(socket);
+		});
+		const answer = await exchangeRaw(entry.addresses.callers, request);
+		expect(answer.endsWith(lastChunk), answer).to.equal(false);
+		expect(answer).not.to.include('content-length');
+	}
+
+	it('is whole if it ended with its connection, in frames between the nodes', async () => {
+		await expectWhole(framedRequest);
+	});
+
+	it('is whole if it ended with its connection, by HTTP between the nodes', async () => {
+		await expectWhole(streamedRequest);
+	});
+
+	it('does not look whole if the reset came with its last bytes, in frames between the nodes', async () => {
+		await expectBroken(framedRequest);
+	});
+
+	it('does not look whole if the reset came with its last bytes, by HTTP between the nodes', async () => {
+		await expectBroken(streamedRequest);
+	});
+});
