--- a/packages/observability/src/process-observer/index.ts
+++ b/packages/observability/src/process-observer/index.ts
@@ -39,7 +39,7 @@
 		createGauge('gate_in_flight', 'Requests that the upstream runs now.', level.inFlight),
 		createGauge('gate_limit', 'Requests that the gate lets run at once.', level.limit),
 		createGauge('gate_queue_length', 'Requests that wait at the gate.', level.queueLength),
-		createGauge('gate_shed_priority', 'Requests of this priority and less important ones are shed; 10 if none.', level.shedPriority),
+		createGauge('gate_shed_priority', 'Requests of this priority and less important ones are shed; 100 if none.', level.shedPriority),
 	];
 }
 
--- a/packages/scenario/src/bench/capacity/measure-membership/index.ts
+++ b/packages/scenario/src/bench/capacity/measure-membership/index.ts
@@ -7,7 +7,7 @@
 	GossipMembership, type MembershipActions, type MembershipMessage, type SelfDescription,
 } from '@fireflyglade/membership';
 import {
-	createFailureDomain, createNodeId, createServiceName, createUpstreamId, emptyConfiguration, millisecondsInSecond, SeededRandom,
+	createFailureDomain, createNodeId, createServiceName, createUpstreamId, emptyConfiguration, lowestPriority, millisecondsInSecond, SeededRandom,
 	type Configuration, type DomainSettings, type FailureDomain, type KeyId, type NodeId, type Revision,
 } from '@fireflyglade/model';
 import {decodeMessage, encodeMessage} from '@fireflyglade/transport';
@@ -127,7 +127,7 @@
 			}
 
 			const level = {
-				inFlight: this.#random.nextInteger(40), limit: 40, queueLength: 0, shedPriority: 10,
+				inFlight: this.#random.nextInteger(40), limit: 40, queueLength: 0, shedPriority: lowestPriority + 1,
 			};
 			member.self = {...member.self, level};
 			this.take(member.membership.describeSelf(member.self, this.now));
