Count a call that can't be told as the least important that runs

Cause: a call of an upstream that ends before its request does can't be told to belong to it, and counted as what most requests of that gate are. While few lookups were let in, that was the priority of the sign-offs: calls of lookups went before crew-schedule, and displaced those of sign-offs. Now it counts as the least important request that runs beside the node, and displaces nothing that matters.

--- a/packages/node/src/_lib/call-table/index.ts
+++ b/packages/node/src/_lib/call-table/index.ts
@@ -140,20 +140,14 @@
 		return nearest;
 	}
 
-	/** The priority that most of the running requests have; the less important one of two that are as common. */
-	commonPriority(): number | undefined {
-		const counts = new Map<number, number>();
-		let common: number | undefined;
+	/** The priority of the least important request that runs. */
+	leastPriority(): number | undefined {
+		let least: number | undefined;
 		for (const {context: {priority}} of this.#running) {
-			const count = (counts.get(priority) ?? 0) + 1;
-			counts.set(priority, count);
-			const most = common === undefined ? 0 : counts.get(common)!;
-			if (common === undefined || count > most || (count === most && priority > common)) {
-				common = priority;
-			}
+			least = Math.max(least ?? priority, priority);
 		}
 
-		return common;
+		return least;
 	}
 
 	/**
--- a/packages/node/src/_lib/caller-policy/index.ts
+++ b/packages/node/src/_lib/caller-policy/index.ts
@@ -80,7 +80,11 @@
 		};
 	}
 
-	/** A call of the upstream is as important as the request that it seems to belong to, else as most that run; it goes before new work of that priority. */
+	/**
+	A call of the upstream is as important as the request that it seems to belong to, and
+	goes before new work of that priority. A call that can't be told counts as the least
+	important that runs, so that it never displaces what matters more.
+	*/
 	#deeperTerms(request: IncomingMessage, route: Route, timeoutMilliseconds: number, now: number): CallTerms {
 		const {traceparent} = request.headers;
 		const stated = Number(request.headers[this.#interface.timeoutField]);
@@ -88,7 +92,7 @@
 		return {
 			kind: 'granted',
 			...(parent === undefined ? {} : {rootId: parent.context.rootId}),
-			priority: parent?.context.priority ?? this.#calls?.commonPriority() ?? highestPriority,
+			priority: parent?.context.priority ?? this.#calls?.leastPriority() ?? highestPriority,
 			deadline: now + timeoutMilliseconds,
 			attempts: route.retryLimit + 1,
 			depth: Math.min(maximumCallDepth, (parent?.context.depth ?? 0) + 1),
--- a/packages/node/src/test-support/call-graph-replay/index.ts
+++ b/packages/node/src/test-support/call-graph-replay/index.ts
@@ -5,7 +5,7 @@
 
 The gates decide with the admission of the product, and the calls of an upstream
 get their importance as at a node: that of their request where both end at once,
-else the one which most requests have that run beside the node.
+else that of the least important request that runs beside the node.
 */
 
 import {AnnouncedLimit, GateAdmission, type AdmissionDecision} from '@fireflyglade/admission';
@@ -315,7 +315,7 @@
 			root: call.root,
 			depth: isTold ? call.depth + 1 : 1,
 			deadline: Math.min(call.deadline, own),
-			priority: isTold ? call.priority : call.gate.commonPriority(),
+			priority: isTold ? call.priority : call.gate.leastPriority(),
 		};
 	}
 
@@ -382,13 +382,8 @@
 		return (mean / 2) - (mean / 2 * Math.log(1 - random.nextFraction()));
 	}
 
-	commonPriority(): number {
-		const counts = new Map<number, number>();
-		for (const {priority} of this.running) {
-			counts.set(priority, (counts.get(priority) ?? 0) + 1);
-		}
-
-		return [...counts].toSorted(([left, few], [right, many]) => many - few || right - left)[0]?.[0] ?? 0;
+	leastPriority(): number {
+		return Math.max(0, ...Array.from(this.running, ({priority}) => priority));
 	}
 }
 
--- a/packages/node/src/test-support/call-graph-replay/test.ts
+++ b/packages/node/src/test-support/call-graph-replay/test.ts
@@ -97,17 +97,17 @@
 			expect(inAim(result, schedule)).to.be.greaterThan(0.93);
 			expect(served(result, lookup)).to.be.greaterThan(0.4);
 			expect(result.used.get('stock')).to.be.greaterThan(0.9);
-			expect(result.useful.get('stock')).to.be.greaterThan(0.9);
+			expect(result.useful.get('stock')).to.be.greaterThan(0.95);
 		}).timeout(20_000);
 
 		it(`serves each kind a quarter as often as all at least at 2.3 times the load (seed ${seed})`, () => {
 			const result = run(2.3, seed);
-			expect(served(result, signoff)).to.be.greaterThan(0.75);
+			expect(served(result, signoff)).to.be.greaterThan(0.8);
 			expect(served(result, order)).to.be.greaterThan(0.97);
-			expect(inAim(result, schedule)).to.be.greaterThan(0.85);
-			expect(served(result, lookup)).to.be.greaterThan(0.165);
+			expect(inAim(result, schedule)).to.be.greaterThan(0.95);
+			expect(served(result, lookup)).to.be.greaterThan(0.2);
 			expect(result.used.get('stock')).to.be.greaterThan(0.9);
-			expect(result.useful.get('stock')).to.be.greaterThan(0.83);
+			expect(result.useful.get('stock')).to.be.greaterThan(0.93);
 		}).timeout(20_000);
 	}
 });
