Carry remote calls over frame connections where the fleet token lets in

Cause: one holder a domain answers the requests for tokens of all 29 nodes and serves its own gate besides, and each batch was a gRPC call.

Now processes that the fleet token lets in call one another over one frame connection for each address, as calls of callers already did. Mutual TLS keeps gRPC.

--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -12,7 +12,8 @@
 import {ConfigurationStateMachine, decodeCommand} from '@fireflyglade/state';
 import {openLogStorage} from '@fireflyglade/storage';
 import {
-	claimMethod, encodeMessage, GrpcRpcClient, GrpcRpcServer, reportMethod, type ClaimCall, type ClaimCallAnswer, type FleetCredentials,
+	claimMethod, createRpcClient, createRpcServer, encodeMessage, reportMethod, type ClaimCall, type ClaimCallAnswer, type FleetCredentials,
+	type RpcClient, type RpcServer,
 } from '@fireflyglade/transport';
 import {
 	changeMembersMethod, deliverMethod, introduceMethod, proposeMethod, shareMethod,
@@ -60,7 +61,7 @@
 
 type ControlParts = {
 	readonly clock: Clock;
-	readonly client: GrpcRpcClient;
+	readonly client: RpcClient;
 	readonly log: ReplicatedLog;
 	readonly directory: MemberDirectory;
 };
@@ -86,7 +87,7 @@
 
 	static async #open(options: ControlProcessOptions): Promise<ControlProcess> {
 		const clock = options.clock ?? new SystemClock();
-		const client = new GrpcRpcClient(options.credentials);
+		const client = createRpcClient(options.credentials, clock);
 		const storage = await openLogStorage(options.dataFolder, {isAlone: options.isAlone ?? false});
 		const stored = await loadStoredState(storage);
 		const consensus = new RaftConsensus({
@@ -125,8 +126,8 @@
 	}
 
 	readonly #clock: Clock;
-	readonly #client: GrpcRpcClient;
-	readonly #server: GrpcRpcServer;
+	readonly #client: RpcClient;
+	readonly #server: RpcServer;
 	readonly #log: ReplicatedLog;
 	readonly #registry = new FleetRegistry();
 	readonly #reports: ReportService;
@@ -150,7 +151,7 @@
 		this.#client = client;
 		this.#log = log;
 		this.#directory = directory;
-		this.#server = new GrpcRpcServer(options.credentials);
+		this.#server = createRpcServer(options.credentials, clock);
 		this.#reports = new ReportService({
 			log,
 			registry: this.#registry,
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -13,7 +13,7 @@
 import {ServiceRetryBudgets, TargetRouting, type RetryBudgets} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import {
-	GrpcRpcClient, GrpcRpcServer, outcomeMethod,
+	createRpcClient, createRpcServer, outcomeMethod,
 	type FleetCredentials,
 } from '@fireflyglade/transport';
 import type {CallInterface} from '../call-interface/index.js';
@@ -83,8 +83,8 @@
 	const {credentials} = options;
 	const randomSeed = options.randomSeed ?? randomInt(largestSeed);
 	const clock = new SystemClock();
-	const client = new GrpcRpcClient(credentials);
-	const server = new GrpcRpcServer(credentials);
+	const client = createRpcClient(credentials, clock);
+	const server = createRpcServer(credentials, clock);
 	const fleet = new FleetRuntime({
 		node: settings.node,
 		domain: settings.domain,
--- /dev/null
+++ b/packages/transport/src/frame-rpc-server/index.ts
@@ -0,0 +1,104 @@
+/**
+Answers remote calls over frame connections. A caller is let in by the fleet
+token, and what its calls carry is read only after that.
+*/
+
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {FireflygladeError, type Clock} from '@fireflyglade/model';
+import {frameRpcKinds as kinds, largestFrameRpcBytes} from '../_lib/frame-rpc-wire.js';
+import {methodPath} from '../_lib/rpc-wire.js';
+import type {FrameConnection, FrameConnectionHandlers} from '../frame-connection/index.js';
+import {FrameListener} from '../frame-listener/index.js';
+import {decodeMessage, encodeMessage} from '../message-codec/index.js';
+import type {RpcFailure} from '../rpc-error/index.js';
+import type {RpcMethod, RpcServer} from '../types.js';
+
+type Handler = (request: unknown) => Promise<unknown>;
+
+const shutdownMilliseconds = 1000;
+const shutdownPollMilliseconds = 5;
+
+/** A server of remote calls over frame connections. */
+export class FrameRpcServer implements RpcServer {
+	readonly #clock: Clock;
+	readonly #tokenDigest: Uint8Array;
+	readonly #handlers = new Map<string, Handler>();
+	readonly #listener: FrameListener;
+	#running = 0;
+
+	constructor(token: string, clock: Clock) {
+		this.#clock = clock;
+		this.#tokenDigest = digest(token);
+		this.#listener = new FrameListener(connection => this.#accept(connection), {clock, largestMessageBytes: largestFrameRpcBytes});
+	}
+
+	handle<Request, Response>(method: RpcMethod<Request, Response>, handler: (request: Request) => Promise<Response>): void {
+		this.#handlers.set(methodPath(method as RpcMethod<unknown, unknown>), handler as Handler);
+	}
+
+	async listen(address: string): Promise<string> {
+		return this.#listener.listen(address);
+	}
+
+	/** Lets calls that are being answered end, for a second at most. */
+	async close(): Promise<void> {
+		const end = this.#clock.now() + shutdownMilliseconds;
+		while (this.#running > 0 && this.#clock.now() < end) {
+			await new Promise<void>(resolve => {
+				this.#clock.startTimer(shutdownPollMilliseconds, resolve);
+			});
+		}
+
+		this.#listener.close();
+	}
+
+	#accept(connection: () => FrameConnection): FrameConnectionHandlers {
+		let isLetIn = false;
+		return {
+			onMessage: message => {
+				if (isLetIn) {
+					void this.#answer(connection(), message);
+					return;
+				}
+
+				const [kind, token] = message;
+				isLetIn = kind === kinds.hello && typeof token === 'string' && timingSafeEqual(digest(token), this.#tokenDigest);
+				if (!isLetIn) {
+					connection().send([kinds.notLetIn]);
+					connection().close();
+				}
+			},
+			onClosed() {
+				// Handlers run on; nobody waits for their answers.
+			},
+		};
+	}
+
+	async #answer(connection: FrameConnection, message: readonly unknown[]): Promise<void> {
+		const [kind, number, method, bytes] = message;
+		if (kind !== kinds.request || !(bytes instanceof Uint8Array)) {
+			connection.destroy();
+			return;
+		}
+
+		const handler = this.#handlers.get(String(method));
+		if (handler === undefined) {
+			connection.send([kinds.failure, number, 'unimplemented' satisfies RpcFailure, `there is no method ${String(method)}`, null]);
+			return;
+		}
+
+		this.#running++;
+		try {
+			connection.send([kinds.answer, number, encodeMessage(await handler(decodeMessage(bytes)))]);
+		} catch (error: unknown) {
+			const details = error instanceof Error ? error.message : 'the handler failed';
+			connection.send([kinds.failure, number, 'remote' satisfies RpcFailure, details, error instanceof FireflygladeError ? error.code : null]);
+		}
+
+		this.#running--;
+	}
+}
+
+function digest(value: string): Uint8Array {
+	return createHash('sha256').update(value).digest();
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,8 +2,11 @@
 RPC between processes and HTTP plumbing.
 */
 
+export * from './create-rpc/index.js';
 export * from './frame-connection/index.js';
 export * from './frame-listener/index.js';
+export * from './frame-rpc-client/index.js';
+export * from './frame-rpc-server/index.js';
 export * from './http-answer/index.js';
 export * from './http-body/index.js';
 export * from './http-fields/index.js';
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -1,6 +1,6 @@
 /**
 The contract of remote calls between the system's processes: typed methods over
-gRPC with a MessagePack codec, let in by mutual TLS or a fleet token.
+frame connections or gRPC with a MessagePack codec, let in by a fleet token or mutual TLS.
 */
 
 import type {
