Use a target that is about to stop where no other is left

Cause: a node that is told to stop tells its peers that its target is not available at once, though its gate goes on taking work for 1.8 s, so that running chains need not fail. Where the other targets of a service are away, none was left.

Now the node first tells that its target is about to stop, and that it is not available once its gate refuses work. Targets that are about to stop get work only if no other target of the service may have it.

Both tests failed before: the one of TargetRouting ("expected node-0 to equal node-1"), and the one of createNode, which waits for the notice.

--- a/packages/model/src/gate-level/index.ts
+++ b/packages/model/src/gate-level/index.ts
@@ -30,8 +30,10 @@
 	readonly channelAddress?: string;
 	/** `address:port` of the node's RPC listener. */
 	readonly rpcAddress: string;
-	/** False if the upstream leaves or its node shuts down: it gets no new work. */
+	/** False if the upstream leaves or its node refuses work as it shuts down: it gets no new work. */
 	readonly available: boolean;
+	/** True while the node is about to shut down and still takes work: it gets new work only if no other target does. */
+	readonly stopping?: boolean;
 	/** Slots as announced by the upstream. */
 	readonly slots: number;
 };
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -89,6 +89,8 @@
 	#configuration: Configuration | undefined;
 	#removeChangeListener: (() => void) | undefined;
 	#stopping: Promise<void> | undefined;
+	/** True once the gate refuses work, at the end of the time for peers to hear that the node stops. */
+	#isDraining = false;
 	#refreshTimer: Timer | undefined;
 
 	constructor(dependencies: NodeDependencies) {
@@ -273,7 +275,8 @@
 			gateUrl: this.gateUrl,
 			...(this.#channelAddress === undefined ? {} : {channelAddress: this.#channelAddress}),
 			rpcAddress,
-			available: this.#stopping === undefined,
+			available: !this.#isDraining,
+			...(this.#stopping !== undefined && {stopping: true}),
 			slots: upstream.announced.slots,
 		};
 		fleet.announceTarget(target);
@@ -290,6 +293,8 @@
 		}
 
 		await this.#pause(Math.min(settings.leaveNoticeMilliseconds ?? leaveNoticeMilliseconds, settings.shutdownTimeoutMilliseconds / 2));
+		this.#isDraining = true;
+		this.#announceTarget();
 		this.#callers.drain();
 		this.#gate.drain();
 		while (this.inFlight() > 0 && clock.now() < deadline) {
--- a/packages/node/src/create-node/test.ts
+++ b/packages/node/src/create-node/test.ts
@@ -357,4 +357,19 @@
 		await stopped;
 		expect(fleet.observer.finished.every(finished => finished.whole)).to.equal(true);
 	});
+
+	it('does not leave a service without an upstream while the only node beside one has just been told to stop', async () => {
+		const entry = await fleet.startNode('a');
+		const gate = await fleet.startNode('b', {}, {shutdownTimeoutMilliseconds: 5000});
+		const upstream = await fleet.startUpstream(gate);
+		const stopped = gate.stop();
+		await waitUntil(() => [...fleet.shared.targets.values()].some(target => target.stopping === true));
+		const served = await request(`http://${entry.addresses.callers}/orders/1`, {headers: {authorization}});
+		expect(served.statusCode).to.equal(200);
+		expect(upstream.received).to.have.length(1);
+		await waitUntil(() => [...fleet.shared.targets.values()].every(target => !target.available));
+		const refused = await request(`http://${entry.addresses.callers}/orders/2`, {headers: {authorization}});
+		expect(await refused.body.json()).to.include({code: 'no-upstream', outcome: 'not-run'});
+		await stopped;
+	});
 });
--- a/packages/routing/src/target-routing/index.ts
+++ b/packages/routing/src/target-routing/index.ts
@@ -120,11 +120,14 @@
 		return states;
 	}
 
+	/** The targets that may get work; those that are about to stop only if there is no other. */
 	#usable(service: ServiceState, query: TargetQuery, now: number): TargetState[] {
-		return service.targets.filter(state => state.target.available
+		const usable = service.targets.filter(state => state.target.available
 			&& !this.#drained.has(state.target.upstream)
 			&& !query.tried.has(state.target.upstream)
 			&& !state.outcomes.isEjected(now));
+		const staying = usable.filter(({target}) => target.stopping !== true);
+		return staying.length > 0 ? staying : usable;
 	}
 
 	#pick(service: ServiceState, open: readonly TargetState[], now: number, random: RandomSource): TargetState {
--- a/packages/routing/src/target-routing/test.ts
+++ b/packages/routing/src/target-routing/test.ts
@@ -60,6 +60,16 @@
 		}), {seed: 43});
 	});
 
+	it('refuses no work while a target that is about to stop is the only one left, and gives it none otherwise', () => {
+		const [stopping, staying] = [createTarget(0, 'here', {stopping: true}), createTarget(1, 'there')];
+		const routing = createRouting([stopping, staying]);
+		expect(countChoices(routing, 0)).to.deep.equal(new Map([[staying.upstream, 1000]]));
+		routing.setTargets([stopping, {...staying, available: false}], 1);
+		expect(countChoices(routing, 1)).to.deep.equal(new Map([[stopping.upstream, 1000]]));
+		routing.setTargets([{...stopping, available: false}], 2);
+		expect(countChoices(routing, 2).size).to.equal(0);
+	});
+
 	it('stays in its own failure domain while that has room, and leaves it when it is full', () => {
 		const [own, other] = [createTarget(0), createTarget(1, 'there')];
 		const routing = createRouting([own, other]);
