Say in the log that an upstream answered another request

The detail names the foreign answer now; code, outcome and status stay.

The test failed on the code before (expected detail 'the upstream answered another request').

--- a/packages/node/src/_lib/gate-problems/index.ts
+++ b/packages/node/src/_lib/gate-problems/index.ts
@@ -5,6 +5,7 @@
 import type {RefusalReason} from '@fireflyglade/admission';
 import {UnreachableError, type Problem} from '@fireflyglade/model';
 import {BodyTooLargeError} from '@fireflyglade/transport';
+import {ForeignAnswerError} from '../judge-answer/index.js';
 
 /** The problem of a request for an upstream that takes no new work. */
 export const drainingProblem: Problem = {
@@ -17,6 +18,10 @@
 		return {code: 'body-too-large', outcome: 'unknown', detail: cause.message};
 	}
 
+	if (cause instanceof ForeignAnswerError) {
+		return {code: 'upstream-failed', outcome: 'unknown', detail: cause.message};
+	}
+
 	return {code: 'upstream-failed', outcome: 'unknown', detail: 'the upstream broke off before it answered'};
 }
 
--- /dev/null
+++ b/packages/node/src/_lib/gate-problems/test.ts
@@ -0,0 +1,12 @@
+import {expect} from 'chai';
+import {ForeignAnswerError} from '../judge-answer/index.js';
+import {failureProblem} from './index.js';
+
+describe('failureProblem', () => {
+	it('tells an answer to another request from an upstream that broke off', () => {
+		const foreign = failureProblem(new ForeignAnswerError('the upstream answered another request'));
+		const broken = failureProblem(new Error('read ECONNRESET'));
+		expect(foreign).to.deep.equal({code: 'upstream-failed', outcome: 'unknown', detail: 'the upstream answered another request'});
+		expect(broken).to.deep.equal({code: 'upstream-failed', outcome: 'unknown', detail: 'the upstream broke off before it answered'});
+	});
+});
