--- a/packages/node/src/_lib/caller-policy/index.ts
+++ b/packages/node/src/_lib/caller-policy/index.ts
@@ -5,7 +5,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {
-	highestPriority, maximumCallDepth,
+	highestPriority, lowestRoutePriority, maximumCallDepth,
 	type Configuration, type Problem, type Route, type Team, type TeamName,
 } from '@fireflyglade/model';
 import {productCallInterface, type CallInterface} from '../../call-interface/index.js';
@@ -71,7 +71,7 @@
 			kind: 'granted',
 			...(identity.kind === 'team' ? {team: identity.team} : {}),
 			...(identity.secret === undefined ? {} : {secret: identity.secret}),
-			priority: team?.priority ?? route.priority,
+			priority: priorityOf(team, route),
 			deadline: now + timeoutMilliseconds,
 			attempts: route.retryLimit + 1,
 			depth: 0,
@@ -80,7 +80,11 @@
 		};
 	}
 
-	/** A call of the upstream is as important as the request that it seems to belong to, else as most that run; it goes before new work of that priority. */
+	/**
+	A call of the upstream is as important as the request that it seems to belong to, and
+	goes before new work of that priority. A call that can't be told counts as the least
+	important that runs, so that it never displaces what matters more.
+	*/
 	#deeperTerms(request: IncomingMessage, route: Route, timeoutMilliseconds: number, now: number): CallTerms {
 		const {traceparent} = request.headers;
 		const stated = Number(request.headers[this.#interface.timeoutField]);
@@ -88,7 +92,7 @@
 		return {
 			kind: 'granted',
 			...(parent === undefined ? {} : {rootId: parent.context.rootId}),
-			priority: parent?.context.priority ?? this.#calls?.commonPriority() ?? highestPriority,
+			priority: parent?.context.priority ?? this.#calls?.leastPriority() ?? highestPriority,
 			deadline: now + timeoutMilliseconds,
 			attempts: route.retryLimit + 1,
 			depth: Math.min(maximumCallDepth, (parent?.context.depth ?? 0) + 1),
@@ -101,3 +105,9 @@
 		return new KeyTable(configuration, id => this.#fleet.isKeyWithdrawn(id));
 	}
 }
+
+/** The team decides; its requests, and those of teams that are as important, keep the order of their routes. */
+function priorityOf(team: Team | undefined, route: Route): number {
+	const first = Math.min(lowestRoutePriority, team?.priority ?? route.priority);
+	return (first * (lowestRoutePriority + 1)) + Math.min(lowestRoutePriority, route.priority);
+}
--- a/packages/transport/src/http-listener/test.ts
+++ b/packages/transport/src/http-listener/test.ts
@@ -151,4 +151,33 @@
 		expect(received.indexOf('HTTP/1.1 400')).to.be.above(received.indexOf('the second'));
 		await listener.close(0);
 	});
+
+	it('does not write a refusal into an answer that has begun', async () => {
+		const head = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+		const malformed = 'no length of a chunk\r\n';
+		const listener = new HttpListener((request, response) => {
+			request.resume();
+			response.writeHead(200, {'content-length': '10'});
+			response.write('begun');
+			const endOnceRead = (): void => {
+				if (request.socket.bytesRead < head.length + malformed.length) {
+					setImmediate(endOnceRead);
+					return;
+				}
+
+				response.end('ended');
+			};
+
+			endOnceRead();
+		}, limits);
+		const socket = await open(await listener.listen('127.0.0.1:0'));
+		const answered = readToEnd(socket);
+		socket.write(head);
+		await once(socket, 'data');
+		socket.write(malformed);
+		const text = await answered;
+		expect(text).to.contain('begunended');
+		expect(text).not.to.contain('400 Bad Request');
+		await listener.close(0);
+	});
 });
