Copy a long message once, not at each piece of it

A process that read one long message on a frame connection did nothing else for seconds: each piece of up to 64 KiB copied all that had come before. The remote calls over such connections allow 64 MiB, and anyone who connects may claim so long a message.

The pieces are now kept until the message is whole. The class: work that grows with the square of what a peer sends.

Test: frame-connection, messages in pieces of 1 byte and more; it holds before too, as only the time differs.

--- a/packages/transport/src/frame-connection/index.ts
+++ b/packages/transport/src/frame-connection/index.ts
@@ -67,7 +67,11 @@
 	readonly #largestMessageBytes: number;
 	#outgoing: Array<readonly unknown[]> = [];
 	#flushes = 0;
-	#received: Uint8Array = new Uint8Array(0);
+	/** What has come of messages that are not whole yet. */
+	#received: Uint8Array[] = [];
+	#receivedBytes = 0;
+	/** Bytes with which the next message, or its length, is whole. */
+	#neededBytes = lengthBytes;
 	#heardAt: number;
 	#watch: Timer | undefined;
 	#isConnected: boolean;
@@ -195,7 +199,14 @@
 
 	#take(bytes: Uint8Array): void {
 		this.#heardAt = this.#clock.now();
-		let rest: Uint8Array = this.#received.length === 0 ? bytes : Buffer.concat([this.#received, bytes]);
+		this.#received.push(bytes);
+		this.#receivedBytes += bytes.length;
+		if (this.#receivedBytes < this.#neededBytes) {
+			return;
+		}
+
+		let rest: Uint8Array = this.#received.length === 1 ? bytes : Buffer.concat(this.#received);
+		this.#neededBytes = lengthBytes;
 		while (rest.length >= lengthBytes && !this.#isClosed) {
 			const length = readLength(rest);
 			if (length > this.#largestMessageBytes) {
@@ -204,6 +215,7 @@
 			}
 
 			if (rest.length < lengthBytes + length) {
+				this.#neededBytes = lengthBytes + length;
 				break;
 			}
 
@@ -211,7 +223,8 @@
 			rest = rest.subarray(lengthBytes + length);
 		}
 
-		this.#received = rest;
+		this.#received = rest.length === 0 ? [] : [rest];
+		this.#receivedBytes = rest.length;
 	}
 
 	#takeMessage(bytes: Uint8Array): void {
--- a/packages/transport/src/frame-connection/test.ts
+++ b/packages/transport/src/frame-connection/test.ts
@@ -2,6 +2,7 @@
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {expect} from 'chai';
+import {pack} from 'msgpackr';
 import {ManualClock, SystemClock} from '@fireflyglade/model';
 import {FrameListener} from '../frame-listener/index.js';
 import {parseAddress} from '../parse-address/index.js';
@@ -89,6 +90,41 @@
 		plain.close();
 	});
 
+	it('reads messages that come in pieces of any length', async () => {
+		const received: Array<readonly unknown[]> = [];
+		const listening = new FrameListener(() => ({
+			onMessage(message) {
+				received.push(message);
+			},
+			onClosed: nothing,
+		}), {clock});
+		const {host, port} = parseAddress(await listening.listen('127.0.0.1:0'));
+		const bytes = Buffer.concat([5, 300, 70_000].map(length => {
+			const packed = pack([7, new Uint8Array(length)]);
+			const head = Buffer.alloc(4);
+			head.writeUInt32BE(packed.length);
+			return Buffer.concat([head, packed]);
+		}));
+		for (const pieceBytes of [1, 3, 4, 5, 311, 65_536]) {
+			const sender = connect({host, port, noDelay: true});
+			// Small pieces go one by one up to the beginning of the last message, whose length they cut.
+			for (let from = 0; from < bytes.length; from += from < 400 ? pieceBytes : 65_536) {
+				const to = from + (from < 400 ? pieceBytes : 65_536);
+				await new Promise<void>(resolve => {
+					sender.write(bytes.subarray(from, to), () => {
+						setImmediate(resolve);
+					});
+				});
+			}
+
+			await until(() => received.length === 3);
+			expect(received.splice(0).map(([, content]) => (content as Uint8Array).length)).to.deep.equal([5, 300, 70_000]);
+			sender.destroy();
+		}
+
+		listening.close();
+	});
+
 	it('tells that it never was connected', async () => {
 		const unused = createServer();
 		await new Promise<void>(resolve => {
