--- /dev/null
+++ b/packages/node/src/_lib/fleet-view/test.ts
@@ -0,0 +1,35 @@
+import {expect} from 'chai';
+import {
+	createFailureDomain, createNodeId, type FencingNumber, type Revision,
+} from '@fireflyglade/model';
+import type {Fields} from '@fireflyglade/observability';
+import {FleetViewLog} from './index.js';
+
+describe('FleetViewLog', () => {
+	const north = createFailureDomain('north');
+	const south = createFailureDomain('south');
+	const holder = {holder: createNodeId('node-1'), fencing: 1 as FencingNumber, revision: 1 as Revision};
+
+	it('tells each change once, and the domains whose holder is not known', () => {
+		const told: Array<readonly [string, Fields]> = [];
+		const log = new FleetViewLog((event, details) => {
+			told.push([event, details]);
+		});
+		const alone = {
+			members: 1, targets: 0, domains: [north, south], holders: new Map(),
+		};
+		const joined = {
+			members: 3, targets: 2, domains: [north, south], holders: new Map([[south, holder]]),
+		};
+		log.note(alone);
+		log.note(alone);
+		log.note(joined);
+		log.note(joined);
+		log.note({...joined, targets: 1});
+		expect(told).to.deep.equal([
+			['fleet view', {members: 1, targets: 0, holders: 'north=none south=none'}],
+			['fleet view', {members: 3, targets: 2, holders: 'north=none south=node-1'}],
+			['fleet view', {members: 3, targets: 1, holders: 'north=none south=node-1'}],
+		]);
+	});
+});
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -24,6 +24,7 @@
 } from '../fleet-runtime-methods/index.js';
 import {PeerOutbox} from '../fleet-runtime-outbox/index.js';
 import {ControlReporter} from '../fleet-runtime-reporter/index.js';
+import {FleetViewLog} from '../_lib/fleet-view/index.js';
 import type {KeyFreshness} from '../_lib/key-freshness/index.js';
 import type {Fleet} from '../types.js';
 
@@ -100,6 +101,8 @@
 	#lastChargeAt = Number.NEGATIVE_INFINITY;
 	#isFetching = false;
 	#wasFresh = false;
+	readonly #viewLog: FleetViewLog;
+	#memberCount = 1;
 	#control: readonly string[];
 	#configuredControl: readonly string[];
 
@@ -119,6 +122,9 @@
 			},
 		});
 		this.#connectivity = {kind: 'control-outage', since: clock.now()};
+		this.#viewLog = new FleetViewLog((event, details) => {
+			options.onNote?.(event, details);
+		});
 	}
 
 	/** Registers the handlers of calls between nodes; before the server listens. */
@@ -378,6 +384,9 @@
 			this.#describeSelf();
 			this.#takeHolders();
 			this.#takeTargets();
+			this.#viewLog.note({
+				members: this.#memberCount, targets: this.#targets.length, domains: this.configuration().domains.keys(), holders: this.holders(),
+			});
 		}
 
 		this.#tickLater(now);
@@ -501,7 +510,9 @@
 			return;
 		}
 
-		for (const {description} of membership.members()) {
+		const members = membership.members();
+		this.#memberCount = members.length;
+		for (const {description} of members) {
 			this.#addressByNode.set(description.node, description.rpcAddress);
 		}
 
