--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -18,7 +18,17 @@
 async function run(file: string): Promise<void> {
 	const settings = await loadNodeSettings(file);
 	const logger = createLogger(settings.log, {process: settings.node});
-	const node = await startFleetNode(settings, {credentials: await loadFleetCredentials(settings.security)});
+	const node = await startFleetNode(settings, {
+		credentials: await loadFleetCredentials(settings.security),
+		onNote(event, details) {
+			logger.info(event, details);
+		},
+		onAnswerLost({requestId, upstream, answered, cause}) {
+			logger.info('answer lost', {
+				request: requestId, upstream, answered, detail: cause.message,
+			});
+		},
+	});
 	logger.info('serves callers', {...node.addresses, rpc: node.rpcAddress});
 	const shutDown = async (signal: string): Promise<void> => {
 		logger.info('shuts down', {signal});
