Write no refusal into an answer that began while an earlier one was awaited

What callers would see: with pipelined requests, the text of a 400 inside the body of another request's answer.

Cause: bytes that are no request waited for the answer before the last one, and were then refused without a second look at the last request, whose body they had broken and whose answer could have begun meanwhile. Now the state is looked at again.

The new test failed before (expected the answer to include 'begunended'); the 9 tests of HttpListener pass after. Other tests were not run on this commit.

--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -180,7 +180,18 @@
 		}
 
 		earlier.once('close', () => {
-			refuseClient(error, socket, mayHaveRun);
+			if (!mayHaveRun) {
+				refuseClient(error, socket, mayHaveRun);
+				return;
+			}
+
+			if (responses.at(-1)!.closed) {
+				socket.destroy();
+				return;
+			}
+
+			// The last request may have been answered meanwhile, behind the earlier answer.
+			this.#answerClientError(error, socket);
 		});
 	}
 
--- a/packages/transport/src/http-listener/test.ts
+++ b/packages/transport/src/http-listener/test.ts
@@ -180,4 +180,37 @@
 		expect(text).not.to.contain('400 Bad Request');
 		await listener.close(0);
 	});
+
+	it('does not write a refusal into an answer that began while an earlier one was awaited', async () => {
+		const head = 'POST /second HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+		let first: ServerResponse | undefined;
+		const listener = new HttpListener((request, response) => {
+			if (first === undefined) {
+				first = response;
+				return;
+			}
+
+			request.resume();
+			const earlier = first;
+			// By then the bytes behind the head have been read as well.
+			setImmediate(() => {
+				response.writeHead(200, {'content-length': '10'});
+				response.write('begun');
+				earlier.once('close', () => {
+					setImmediate(() => {
+						response.end('ended');
+					});
+				});
+				earlier.end('the first');
+			});
+		}, limits);
+		const socket = await open(await listener.listen('127.0.0.1:0'));
+		const answered = readToEnd(socket);
+		socket.write(`GET /first HTTP/1.1\r\nHost: a\r\n\r\n${head}no length of a chunk\r\n`);
+		const text = await answered;
+		expect(text).to.contain('the first');
+		expect(text).to.contain('begunended');
+		expect(text).not.to.contain('400 Bad Request');
+		await listener.close(0);
+	});
 });
