Wait for peers from when a node is told of them, not from its start

What callers would see: where control answers a restarted node only after 2 s (an election, a cut, all processes restarted at once), the node counted as joined before it knew anybody, served callers with "no upstream of the service is known", and asked its first peer up to 2 s late. Found by the reviewer, by reading. The test failed before ("joined before it was told of peers").

--- a/packages/membership/src/gossip-membership/index.ts
+++ b/packages/membership/src/gossip-membership/index.ts
@@ -54,7 +54,8 @@
 	#hasLeft = false;
 	/** True once a peer has told all that it knows, or has not for long. */
 	#hasJoined = false;
-	readonly #startedAt: number;
+	/** Since when peers could have told what they know; undefined until the node is told of any. */
+	#patientFrom: number | undefined;
 	#now: number;
 
 	constructor(options: MembershipOptions) {
@@ -70,7 +71,7 @@
 		this.#nextGatewayProbeAt = now;
 		this.#nextJoinAt = now;
 		this.#nextSynchronizationAt = now;
-		this.#startedAt = now;
+		this.#patientFrom = this.#isDiscovering ? undefined : now;
 		this.#now = now;
 	}
 
@@ -111,6 +112,7 @@
 		}
 
 		this.#isDiscovering &&= addresses.length === 0;
+		this.#patientFrom ??= now;
 		if (unknown.length > 0 && !this.#hasJoined && !this.#hasLeft) {
 			this.#nextJoinAt = now;
 			this.#join();
@@ -124,7 +126,7 @@
 	peer has done so for long. Before that it knows neither targets nor holders.
 	*/
 	hasJoined(now: number): boolean {
-		this.#hasJoined ||= now - this.#startedAt >= joinPatienceMilliseconds;
+		this.#hasJoined ||= this.#patientFrom !== undefined && now - this.#patientFrom >= joinPatienceMilliseconds;
 		return this.#hasJoined;
 	}
 
--- a/packages/membership/src/gossip-membership/test.ts
+++ b/packages/membership/src/gossip-membership/test.ts
@@ -3,7 +3,7 @@
 import {
 	configurationOf, Network, nodeOf, selfOf,
 } from '../test-support/network/index.js';
-import type {GossipMembership} from './index.js';
+import {GossipMembership} from './index.js';
 
 const north = createFailureDomain('north');
 
@@ -88,6 +88,21 @@
 		expect(late.members().length).to.be.at.least(5);
 	});
 
+	it('joins at once, and does not count as joined before, where it is told of peers only after seconds', () => {
+		const late = new GossipMembership({
+			self: selfOf('north', 3), seeds: [], isDiscovering: true, randomSeed: 1, incarnation: 1, now: 0,
+		});
+		for (let now = 100; now <= 2500; now += 100) {
+			late.tick(now);
+		}
+
+		expect(late.hasJoined(2500), 'joined before it was told of peers').to.equal(false);
+		const {messages} = late.addSeeds(['north-0:1'], 2500);
+		expect(messages.map(({toAddress}) => toAddress)).to.deep.equal(['north-0:1']);
+		expect(late.hasJoined(4400)).to.equal(false);
+		expect(late.hasJoined(4500), 'alone, after 2 s without word').to.equal(true);
+	});
+
 	it('gives each domain one holder, and never two under cuts and deaths', () => {
 		const network = startFleet(['north', 'south'], 5);
 		network.run(6000);
