Leave routes alone that have never been served

What callers would see: requests of a route that was never served turned away in full measure while another route's service is crowded. Found by the reviewer, by reading. Cause: what such routes occupy is 0, and a part of nothing was divided by. The test failed before (share of the new route lowered).

--- a/packages/routing/src/root-share/index.ts
+++ b/packages/routing/src/root-share/index.ts
@@ -192,7 +192,7 @@
 
 		for (const state of through) {
 			const occupied = occupiedBy(state, now);
-			if (occupied < whole * smallPart) {
+			if (occupied <= whole * smallPart) {
 				continue;
 			}
 
--- a/packages/routing/src/root-share/test.ts
+++ b/packages/routing/src/root-share/test.ts
@@ -74,6 +74,18 @@
 		expect(share.share(schedule, end)).to.equal(1);
 	});
 
+	it('turns nothing away of routes that have never been served, as nobody knows what they occupy', () => {
+		const share = createShare(lookup);
+		const end = crowd(share, [lookup], longWait, 250);
+		const unserved: RootRoute = {id: createRouteId('GET', '/new'), priority: 1};
+		const later = end + 3000;
+		share.admits(unserved, later, random);
+		share.link(unserved, {service: stock, waitMilliseconds: longWait}, later);
+		share.admits(unserved, later + 250, random);
+		expect(share.isOpen(later + 250)).to.equal(false);
+		expect(share.share(unserved, later + 250)).to.equal(1);
+	});
+
 	it('leaves routes alone that don\'t come through the crowded service', () => {
 		const share = new RootShare();
 		for (let now = 0; now <= 10_000; now += 10) {
