Believe a refusal only if it repeats the request's id

Cause: a response with status 421 and no request id counted as "not run". Ruled out by test: refusals with the earlier id, 503 and 429 without an id, second copies of a success in five forms, heads cut at every byte. Change: classifyResponse compares the id before it looks at the status.

--- a/packages/node/src/_lib/classify-response/index.ts
+++ b/packages/node/src/_lib/classify-response/index.ts
@@ -21,9 +21,10 @@
 
 /**
 Classifies a response. Where the interface defines a `requestIdField`, the response must
-repeat the request's value of it. The field `notRunField` states that the request
-did not run, and so does status 421 where the interface defines an
-`expectedUpstreamField`. Only a response with that status may lack the request id.
+repeat the request's value of it, refusals included: an upstream may write an earlier
+refusal again while the next request on the connection already runs. The field
+`notRunField` states that the request did not run, and so does status 421 where the
+interface defines an `expectedUpstreamField`.
 
 @param head - Status and fields of the response.
 @param sentFields - Alternating names and values of the fields of the request that was sent.
@@ -31,17 +32,13 @@
 */
 export function classifyResponse(head: ResponseHead, sentFields: readonly string[], callInterface: CallInterface): ResponseClass {
 	const {requestIdField, notRunField, expectedUpstreamField} = callInterface;
-	const echoed = requestIdField === undefined ? undefined : head.headers[requestIdField];
-	const isEchoed = requestIdField === undefined || echoed === findField(sentFields, requestIdField);
-	if (expectedUpstreamField !== undefined && head.status === misdirectedStatus && (isEchoed || echoed === undefined)) {
-		return 'not-run';
-	}
-
-	if (!isEchoed) {
+	if (requestIdField !== undefined && head.headers[requestIdField] !== findField(sentFields, requestIdField)) {
 		return 'foreign';
 	}
 
-	return notRunField !== undefined && head.headers[notRunField] !== undefined ? 'not-run' : 'own';
+	const isMisdirected = expectedUpstreamField !== undefined && head.status === misdirectedStatus;
+	const isMarkedAsNotRun = notRunField !== undefined && head.headers[notRunField] !== undefined;
+	return isMisdirected || isMarkedAsNotRun ? 'not-run' : 'own';
 }
 
 function findField(fields: readonly string[], name: string): string | undefined {
--- a/packages/node/src/_lib/classify-response/test.ts
+++ b/packages/node/src/_lib/classify-response/test.ts
@@ -20,7 +20,13 @@
 	it('classifies a request as not run only if the upstream states so', () => {
 		expect(classifyResponse({status: 503, headers: {'x-request': 'r-1', 'x-not-run': '1'}}, sentFields, callInterface)).to.equal('not-run');
 		expect(classifyResponse({status: 503, headers: {'x-request': 'r-1'}}, sentFields, callInterface)).to.equal('own');
-		expect(classifyResponse({status: 421, headers: {}}, sentFields, callInterface)).to.equal('not-run');
+		expect(classifyResponse({status: 421, headers: {'x-request': 'r-1'}}, sentFields, callInterface)).to.equal('not-run');
+	});
+
+	it('does not take a refusal without an id as one of this request', () => {
+		expect(classifyResponse({status: 421, headers: {}}, sentFields, callInterface)).to.equal('foreign');
+		expect(classifyResponse({status: 421, headers: {'x-not-run': '1'}}, sentFields, callInterface)).to.equal('foreign');
+		expect(classifyResponse({status: 503, headers: {'x-not-run': '1'}}, sentFields, callInterface)).to.equal('foreign');
 	});
 
 	it('does not take a late refusal of another request as one of this request', () => {
