Keep most of a fleet's standing traffic within its failure domains

Ruled out: calls between nodes (1 KB/s), probes. Changes, each with a test: - a node reports to a control process of its own failure domain (ControlChooser); the answer says which domain that is; - in a large fleet most reports are brief (node, revision); control processes share brief reports too and ask for a full one of a node that they lack; - linearizable reads for reports are paced (ReportService), reads at a leader share heartbeat rounds (Leadership); - members answer an introduction with addresses only if the other lacks some. Because a control process may learn of nodes a little later after its start, domains are observed for 2.5 s instead of 1.5 s before they are changed.

--- a/packages/consensus/src/_lib/leadership.ts
+++ b/packages/consensus/src/_lib/leadership.ts
@@ -22,6 +22,8 @@
 	isElectionRequested: boolean;
 };
 
+/** Minimum time between the starts of two heartbeat rounds for reads, as a fraction of the heartbeat interval. Reads that arrive in between share a round. */
+const readRoundIntervalRatio = 0.5;
 /** A learner that lags by more entries than this can't be promoted to voter. */
 const maximumLearnerLagEntries = 64;
 
@@ -122,6 +124,8 @@
 			this.broadcast();
 		}
 
+		this.#startReadRoundIfDue();
+
 		return now - this.#lastQuorumContactAt < options.electionTimeoutMilliseconds;
 	}
 
@@ -133,21 +137,15 @@
 		}
 
 		// A round in progress started before this read, so it can't confirm it.
-		const isRoundInProgress = this.#reads.latestRound >= this.#round && this.#round > this.#quorumAnsweredRound();
 		this.#reads.add(origin, this.#state.commitIndex, this.#round + 1);
-		if (!isRoundInProgress) {
-			this.broadcast();
-		}
+		this.#startReadRoundIfDue();
 	}
 
 	/** Removes and returns the reads that a quorum has confirmed. */
 	takeConfirmedReads(): readonly ConfirmedRead[] {
 		const round = this.#quorumAnsweredRound();
 		const confirmed = this.#reads.takeConfirmed(round);
-		if (this.#reads.latestRound > this.#round && round >= this.#round) {
-			this.broadcast();
-		}
-
+		this.#startReadRoundIfDue();
 		return confirmed;
 	}
 
@@ -231,6 +229,16 @@
 		});
 	}
 
+	/** Starts a heartbeat round if reads wait for one, no round is in progress and the last one began long enough ago. */
+	#startReadRoundIfDue(): void {
+		const {now, options} = this.#state;
+		const isRoundInProgress = this.#round > this.#quorumAnsweredRound();
+		const isTooEarly = this.#peers.size > 0 && now - this.#lastBroadcastAt < options.heartbeatIntervalMilliseconds * readRoundIntervalRatio;
+		if (this.#reads.latestRound > this.#round && !isRoundInProgress && !isTooEarly) {
+			this.broadcast();
+		}
+	}
+
 	#diskOf(peer: MemberId): string | undefined {
 		return diskOf(this.#state.log.members, peer);
 	}
--- a/packages/control/src/_lib/choose-peers/test.ts
+++ b/packages/control/src/_lib/choose-peers/test.ts
@@ -17,7 +17,9 @@
 }
 
 function toKnownNodes(reports: readonly NodeReport[]): KnownNode[] {
-	return reports.map(report => ({report, lastReportAt: 0, isDirect: true}));
+	return reports.map(report => ({
+		report, lastReportAt: 0, lastFullReportAt: 0, isDirect: true,
+	}));
 }
 
 /** Counts the nodes that are connected with the first one if each node and its peers learn of each other. */
--- a/packages/control/src/_lib/control-rpc.ts
+++ b/packages/control/src/_lib/control-rpc.ts
@@ -3,7 +3,7 @@
 answers.
 */
 
-import type {MemberId} from '@fireflyglade/model';
+import type {MemberId, NodeId, Revision} from '@fireflyglade/model';
 import type {MembershipChangeRefusal} from '@fireflyglade/consensus';
 import type {NodeReport, RpcMethod} from '@fireflyglade/transport';
 
@@ -25,11 +25,14 @@
 /** Forwards a command to the leader. */
 export const proposeMethod: RpcMethod<ProposeRequest, ProposeAnswer> = {service: 'consensus', name: 'propose'};
 
-/** The RPC addresses of the members that a control process knows. */
+/** The RPC addresses of members. */
 export type IntroduceMessage = {readonly addresses: ReadonlyMap<MemberId, string>};
 
-/** Exchanges member addresses, so that the other members learn the address of a member that joins. */
-export const introduceMethod: RpcMethod<IntroduceMessage, IntroduceMessage> = {service: 'consensus', name: 'introduce'};
+/** The address of the member that introduces itself, and a digest of all addresses that it knows. */
+export type IntroduceRequest = IntroduceMessage & {readonly knownDigest: string};
+
+/** Exchanges member addresses, so that the other members learn the address of a member that joins. The answer is empty if both know the same addresses. */
+export const introduceMethod: RpcMethod<IntroduceRequest, IntroduceMessage> = {service: 'consensus', name: 'introduce'};
 
 /** A membership change for the leader. */
 export type ChangeMembersRequest = {readonly action: 'add' | 'remove'; readonly member: MemberId};
@@ -45,8 +48,15 @@
 export const changeMembersMethod: RpcMethod<ChangeMembersRequest, ChangeMembersAnswer> = {service: 'consensus', name: 'changeMembers'};
 
 /** Node reports that one control process shares with another, with their ages at the time of sending. */
-export type ShareRequest = {readonly reports: ReadonlyArray<{readonly report: NodeReport; readonly ageMilliseconds: number}>};
+export type ShareRequest = {
+	readonly reports: ReadonlyArray<{readonly report: NodeReport; readonly ageMilliseconds: number}>;
+	/** Brief reports: node, revision and age in milliseconds. */
+	readonly briefReports: ReadonlyArray<readonly [NodeId, Revision, number]>;
+};
+
+/** The nodes of which the receiver has no full report, so that it ignored their brief reports. */
+export type ShareAnswer = {readonly unknownNodes: readonly NodeId[]};
 
 /** Shares node reports with another control process. */
-export const shareMethod: RpcMethod<ShareRequest, Record<string, never>> = {service: 'control', name: 'share'};
+export const shareMethod: RpcMethod<ShareRequest, ShareAnswer> = {service: 'control', name: 'share'};
 
--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -8,7 +8,7 @@
 	decodeMessage, loadStoredState, RaftConsensus, type ConsensusMessage,
 } from '@fireflyglade/consensus';
 import {
-	InvalidInputError, SystemClock, type Clock, type MemberId, type Timer,
+	InvalidInputError, SystemClock, type Clock, type FailureDomain, type MemberId, type Timer,
 } from '@fireflyglade/model';
 import {ConfigurationStateMachine, decodeCommand} from '@fireflyglade/state';
 import {openLogStorage} from '@fireflyglade/storage';
@@ -53,6 +53,8 @@
 	readonly join?: boolean;
 	readonly operators: readonly Operator[];
 	readonly credentials: FleetCredentials;
+	/** Failure domain of the VM; nodes of the same domain prefer this process. */
+	readonly domain?: FailureDomain;
 	/** Seed of the random election timeouts. */
 	readonly randomSeed: number;
 	readonly clock?: Clock;
@@ -160,6 +162,7 @@
 			clock,
 			client,
 			otherMemberAddresses: () => directory.otherAddresses(),
+			...(options.domain === undefined ? {} : {domain: options.domain}),
 			...(options.toleratedVmFailures === undefined ? {} : {allMemberAddresses: () => [...new Set(directory.addresses.values())]}),
 		});
 		this.#proposer = new CommandProposer({
@@ -239,10 +242,7 @@
 		this.#server.handle(proposeMethod, async request => this.#proposer.answer(request));
 		this.#server.handle(introduceMethod, async message => this.#directory.exchange(message));
 		this.#server.handle(changeMembersMethod, async request => this.#membership.answer(request));
-		this.#server.handle(shareMethod, async request => {
-			this.#reports.receiveSharedReports(request);
-			return {};
-		});
+		this.#server.handle(shareMethod, async request => this.#reports.receiveSharedReports(request));
 		this.#server.handle(reportMethod, async report => this.#reports.answer(report));
 		this.#server.handle(claimMethod, async call => this.#claim(call));
 		this.#rpcAddress = await this.#server.listen(options.rpcAddress);
--- a/packages/control/src/fleet-reconciler/index.ts
+++ b/packages/control/src/fleet-reconciler/index.ts
@@ -32,7 +32,7 @@
 
 const reconcileIntervalMilliseconds = 250;
 /** Time after the start during which nodes may report before domains are changed. */
-const initialObservationMilliseconds = 1500;
+const initialObservationMilliseconds = 2500;
 
 /** Repairs the membership and the failure domains while this process is the leader. Its changes of failure domains are recorded with the operator name `steward`. */
 export class FleetReconciler {
--- a/packages/control/src/fleet-registry/index.ts
+++ b/packages/control/src/fleet-registry/index.ts
@@ -11,8 +11,10 @@
 /** A node with its last report. */
 export type KnownNode = {
 	readonly report: NodeReport;
-	/** Time of the last report, in monotonic milliseconds of this process. */
+	/** Time of the last report, full or brief, in monotonic milliseconds of this process. */
 	readonly lastReportAt: number;
+	/** Time of the last full report. */
+	readonly lastFullReportAt: number;
 	/** True if the node, or the relay that reports for it, sent the report to this process. */
 	readonly isDirect: boolean;
 };
@@ -59,14 +61,37 @@
 			return;
 		}
 
-		this.#nodes.set(report.node, {report, lastReportAt, isDirect});
+		this.#nodes.set(report.node, {
+			report, lastReportAt, lastFullReportAt: lastReportAt, isDirect,
+		});
 		for (const relayed of report.relayed) {
 			this.#recordRelayedNode(report, relayed, lastReportAt, isDirect);
 		}
 
-		for (const listener of this.#listeners) {
-			listener();
+		this.#notifyListeners();
+	}
+
+	/**
+	Records a brief report: the node still reports and has a revision in force.
+
+	@param node - The node.
+	@param revision - The revision.
+	@param lastReportAt - As for `recordReport`.
+	@param isDirect - As for `recordReport`.
+	@returns The node's last full report with the revision, or `undefined` if there is none.
+	*/
+	recordBriefReport(node: NodeId, revision: Revision, lastReportAt: number, isDirect: boolean): NodeReport | undefined {
+		const known = this.#nodes.get(node);
+		if (known === undefined || known.lastReportAt > lastReportAt) {
+			return known?.report;
 		}
+
+		const report = {...known.report, revision};
+		this.#nodes.set(node, {
+			report, lastReportAt, lastFullReportAt: known.lastFullReportAt, isDirect,
+		});
+		this.#notifyListeners();
+		return report;
 	}
 
 	/** Calls `listener` after each recorded report; returns a function that removes the listener. */
@@ -160,6 +185,14 @@
 				node: relayed.node, domain: relay.domain, revision: relayed.revision, rpcAddress: '', callersUrl: '', teams: [], waitMilliseconds: 0, relayed: [],
 			}
 			: {...known.report, revision: relayed.revision};
-		this.#nodes.set(relayed.node, {report, lastReportAt, isDirect});
+		this.#nodes.set(relayed.node, {
+			report, lastReportAt, lastFullReportAt: lastReportAt, isDirect,
+		});
+	}
+
+	#notifyListeners(): void {
+		for (const listener of this.#listeners) {
+			listener();
+		}
 	}
 }
--- a/packages/control/src/member-directory/index.ts
+++ b/packages/control/src/member-directory/index.ts
@@ -7,9 +7,10 @@
 have been restarted one by one.
 */
 
+import {createHash} from 'node:crypto';
 import type {Clock, MemberId, Timer} from '@fireflyglade/model';
 import type {RpcClient} from '@fireflyglade/transport';
-import {introduceMethod, type IntroduceMessage} from '../_lib/control-rpc.js';
+import {introduceMethod, type IntroduceMessage, type IntroduceRequest} from '../_lib/control-rpc.js';
 
 /** Dependencies and settings of the member directory. */
 export type MemberDirectoryOptions = {
@@ -27,6 +28,8 @@
 const defaultIntroductionIntervalMilliseconds = 2000;
 const firstIntroductionDelayMilliseconds = 50;
 const introductionTimeoutMilliseconds = 1000;
+/** 72 bits, so that different addresses practically never have the same digest. */
+const digestCharacters = 12;
 
 /** The RPC addresses of the members, with the times of their last introductions. */
 export class MemberDirectory {
@@ -52,8 +55,8 @@
 		this.#scheduleIntroduction(firstIntroductionDelayMilliseconds);
 	}
 
-	/** Stores the addresses that another member sent and the time of contact, and returns all known addresses. */
-	exchange(message: IntroduceMessage): IntroduceMessage {
+	/** Stores the addresses that another member sent and the time of contact, and returns all known addresses, or none if the other member knows the same ones. */
+	exchange(message: IntroduceRequest): IntroduceMessage {
 		for (const [member, address] of message.addresses) {
 			if (member !== this.#options.member) {
 				this.#options.addresses.set(member, address);
@@ -61,7 +64,7 @@
 			}
 		}
 
-		return {addresses: this.#options.addresses};
+		return {addresses: message.knownDigest === digestAddresses(this.#options.addresses) ? new Map() : this.#options.addresses};
 	}
 
 	/** Time of a member's last introduction to this process in monotonic milliseconds; `undefined` if there was none. */
@@ -105,7 +108,7 @@
 	/** Sends the address of this process to the other members and the seeds. Addresses of third members are not sent, as they may be outdated. */
 	#introduceToAll(): void {
 		const ownAddress = this.#options.addresses.get(this.#options.member)!;
-		const message: IntroduceMessage = {addresses: new Map([[this.#options.member, ownAddress]])};
+		const message: IntroduceRequest = {addresses: new Map([[this.#options.member, ownAddress]]), knownDigest: digestAddresses(this.#options.addresses)};
 		for (const address of new Set([...this.otherAddresses(), ...this.#seeds])) {
 			if (address === ownAddress) {
 				continue;
@@ -115,7 +118,7 @@
 		}
 	}
 
-	async #introduceTo(address: string, message: IntroduceMessage): Promise<void> {
+	async #introduceTo(address: string, message: IntroduceRequest): Promise<void> {
 		try {
 			const answer = await this.#options.client.call(introduceMethod, address, message, {timeoutMilliseconds: introductionTimeoutMilliseconds});
 			this.#addUnknownMembers(answer);
@@ -133,3 +136,8 @@
 		}
 	}
 }
+
+function digestAddresses(addresses: ReadonlyMap<MemberId, string>): string {
+	const lines = [...addresses].map(([member, address]) => `${member} ${address}`).sort();
+	return createHash('sha256').update(lines.join('\n')).digest('base64url').slice(0, digestCharacters);
+}
--- a/packages/control/src/report-service/index.ts
+++ b/packages/control/src/report-service/index.ts
@@ -4,21 +4,27 @@
 An answer is held until a newer revision than the reported one is accepted, or until
 the wait time that the node asked for has passed. Changes therefore reach the nodes
 at once, and an idle fleet causes little traffic.
+
+Traffic between control processes must not grow with the number of reports: linearizable
+reads are paced and shared by all reports that wait for one, and of a node whose last full
+report still holds, the others get its revision alone.
 */
 
 import type {
-	Clock, ConfigurationUpdate, Revision, Timer,
+	Clock, ConfigurationUpdate, FailureDomain, NodeId, Revision, Timer,
 } from '@fireflyglade/model';
-import type {NodeReport, ReportResponse, RpcClient} from '@fireflyglade/transport';
-import {shareMethod, type ShareRequest} from '../_lib/control-rpc.js';
+import type {
+	BriefNodeReport, NodeReport, ReportResponse, RpcClient,
+} from '@fireflyglade/transport';
+import {shareMethod, type ShareAnswer, type ShareRequest} from '../_lib/control-rpc.js';
 import {choosePeers} from '../_lib/choose-peers/index.js';
 import {NoQuorumError, ShuttingDownError, StorageFailedError} from '../errors/index.js';
-import type {FleetRegistry} from '../fleet-registry/index.js';
+import type {FleetRegistry, KnownNode} from '../fleet-registry/index.js';
 import type {ReplicatedLog} from '../replicated-log/index.js';
 
 /** Dependencies of the report service. */
 export type ReportServiceOptions = {
-	readonly log: ReplicatedLog;
+	readonly log: Pick<ReplicatedLog, 'onApplied' | 'read' | 'stateMachine' | 'status'>;
 	readonly registry: FleetRegistry;
 	readonly clock: Clock;
 	readonly client: RpcClient;
@@ -26,12 +32,18 @@
 	readonly otherMemberAddresses: () => readonly string[];
 	/** Returns the RPC addresses of all control processes. If absent, answers contain no addresses of control processes or peers. */
 	readonly allMemberAddresses?: () => readonly string[];
+	/** Failure domain of this process, which nodes of the same domain prefer. */
+	readonly domain?: FailureDomain;
 };
 
 const maximumWaitMilliseconds = 5000;
 const quorumFreshnessMilliseconds = 1500;
 const maximumChangesPerUpdate = 1000;
-const shareIntervalMilliseconds = 250;
+/** Minimum interval between the starts of two linearizable reads. */
+const readIntervalMilliseconds = 200;
+const minimumShareIntervalMilliseconds = 250;
+/** Share interval for each other control process, so that the number of messages grows with the number of control processes and not with its square. */
+const shareIntervalPerMemberMilliseconds = 50;
 const shareTimeoutMilliseconds = 1000;
 
 /** Answers the reports of nodes. */
@@ -41,6 +53,9 @@
 	#isClosed = false;
 	#lastSharedAt = 0;
 	#shareTimer: Timer | undefined;
+	/** Nodes of which another control process has no full report. */
+	readonly #nodesToShareInFull = new Set<NodeId>();
+	#lastReadAt = Number.NEGATIVE_INFINITY;
 	#currentRead: Promise<boolean> | undefined;
 	#nextRead: Promise<boolean> | undefined;
 	readonly #stopListening: () => void;
@@ -58,10 +73,14 @@
 	}
 
 	/** Records a report and answers it. The answer is not held if there is a newer revision than the reported one. */
-	async answer(report: NodeReport): Promise<ReportResponse> {
-		const {registry, clock} = this.#options;
-		registry.recordReport(report, clock.now(), true);
-		await this.#waitForNewerRevision(report.revision, Math.min(report.waitMilliseconds, maximumWaitMilliseconds));
+	async answer(message: NodeReport | BriefNodeReport): Promise<ReportResponse> {
+		const {registry, clock, domain} = this.#options;
+		const report = this.#recordReport(message);
+		if (report === undefined) {
+			return {quorum: this.hasQuorum(), needsFullReport: true};
+		}
+
+		await this.#waitForNewerRevision(report.revision, Math.min(message.waitMilliseconds, maximumWaitMilliseconds));
 		const confirmed = await this.#confirmCurrent();
 		const update = this.#updateAfter(report.revision);
 		const {allMemberAddresses} = this.#options;
@@ -69,16 +88,21 @@
 			...(update === undefined ? {} : {update}),
 			quorum: this.hasQuorum(),
 			confirmed,
+			...(domain === undefined ? {} : {domain}),
 			...(allMemberAddresses === undefined ? {} : {control: allMemberAddresses(), peers: choosePeers(registry.nodes().filter(node => registry.hasRecentReport(node, clock.now())), report)}),
 		};
 	}
 
 	/** Records reports that another control process received. */
-	receiveSharedReports(request: ShareRequest): void {
-		const now = this.#options.clock.now();
+	receiveSharedReports(request: ShareRequest): ShareAnswer {
+		const {registry, clock} = this.#options;
+		const now = clock.now();
 		for (const {report, ageMilliseconds} of request.reports) {
-			this.#options.registry.recordReport(report, now - ageMilliseconds, false);
+			registry.recordReport(report, now - ageMilliseconds, false);
 		}
+
+		const unknown = request.briefReports.filter(([node, revision, ageMilliseconds]) => registry.recordBriefReport(node, revision, now - ageMilliseconds, false) === undefined);
+		return {unknownNodes: unknown.map(([node]) => node)};
 	}
 
 	/** True if the disk is intact, a leader is known, and the last contact with a quorum is recent. */
@@ -96,6 +120,17 @@
 		this.#wakeAll();
 	}
 
+	/** Records a report. Returns the node's full report, or `undefined` if there is none. */
+	#recordReport(message: NodeReport | BriefNodeReport): NodeReport | undefined {
+		const {registry, clock} = this.#options;
+		if ('isBrief' in message) {
+			return registry.recordBriefReport(message.node, message.revision, clock.now(), true);
+		}
+
+		registry.recordReport(message, clock.now(), true);
+		return message;
+	}
+
 	#wakeAll(): void {
 		for (const wake of this.#heldAnswers) {
 			wake();
@@ -133,6 +168,8 @@
 
 	async #readAfter(previous: Promise<boolean> | undefined): Promise<boolean> {
 		await previous;
+		await this.#waitForReadInterval();
+		this.#lastReadAt = this.#options.clock.now();
 		this.#currentRead = this.#nextRead;
 		this.#nextRead = undefined;
 		try {
@@ -147,6 +184,17 @@
 		}
 	}
 
+	/** Waits until a read may start. A first read after an idle time starts at once. */
+	async #waitForReadInterval(): Promise<void> {
+		const {clock} = this.#options;
+		const delay = this.#lastReadAt + readIntervalMilliseconds - clock.now();
+		if (delay > 0 && !this.#isClosed) {
+			await new Promise<void>(resolve => {
+				clock.startTimer(delay, resolve);
+			});
+		}
+	}
+
 	#updateAfter(revision: Revision): ConfigurationUpdate | undefined {
 		const stateMachine = this.#options.log.stateMachine();
 		const configuration = stateMachine.configuration();
@@ -162,7 +210,8 @@
 
 	#scheduleShare(): void {
 		if (!this.#isClosed) {
-			this.#shareTimer = this.#options.clock.startTimer(shareIntervalMilliseconds, () => {
+			const interval = Math.max(minimumShareIntervalMilliseconds, this.#options.otherMemberAddresses().length * shareIntervalPerMemberMilliseconds);
+			this.#shareTimer = this.#options.clock.startTimer(interval, () => {
 				this.#shareReports();
 				this.#scheduleShare();
 			});
@@ -171,21 +220,33 @@
 
 	#shareReports(): void {
 		const now = this.#options.clock.now();
-		const recentNodes = this.#options.registry.directReportsSince(this.#lastSharedAt);
+		const since = this.#lastSharedAt;
+		const recentNodes = this.#options.registry.directReportsSince(since);
 		this.#lastSharedAt = now;
 		if (recentNodes.length === 0) {
 			return;
 		}
 
-		const reports = recentNodes.map(({report, lastReportAt}) => ({report, ageMilliseconds: now - lastReportAt}));
+		const isFull = ({report, lastFullReportAt}: KnownNode): boolean => lastFullReportAt > since || this.#nodesToShareInFull.has(report.node);
+		const request: ShareRequest = {
+			reports: recentNodes.filter(node => isFull(node)).map(({report, lastReportAt}) => ({report, ageMilliseconds: now - lastReportAt})),
+			briefReports: recentNodes.filter(node => !isFull(node)).map(({report, lastReportAt}) => [report.node, report.revision, Math.round(now - lastReportAt)]),
+		};
+		for (const {report} of recentNodes) {
+			this.#nodesToShareInFull.delete(report.node);
+		}
+
 		for (const address of this.#options.otherMemberAddresses()) {
-			void this.#shareWith(address, {reports});
+			void this.#shareWith(address, request);
 		}
 	}
 
 	async #shareWith(address: string, request: ShareRequest): Promise<void> {
 		try {
-			await this.#options.client.call(shareMethod, address, request, {timeoutMilliseconds: shareTimeoutMilliseconds});
+			const {unknownNodes} = await this.#options.client.call(shareMethod, address, request, {timeoutMilliseconds: shareTimeoutMilliseconds});
+			for (const node of unknownNodes) {
+				this.#nodesToShareInFull.add(node);
+			}
 		} catch {
 			// Nodes report periodically, so their next reports are shared later.
 		}
--- a/packages/node/src/fleet-runtime-reporter/index.ts
+++ b/packages/node/src/fleet-runtime-reporter/index.ts
@@ -5,23 +5,32 @@
 Reports use long polling: each report follows the answer to the previous one, and
 the control process holds its answer until a newer change is accepted, for about 1
 second at most. After a failure, or an answer that reports no quorum or a failed
-confirmation, the next control process is used after a delay. A revision that was received from a peer is reported
-immediately.
+confirmation, another control process is used after a delay. A revision that was received
+from a peer is reported immediately.
+
+Most of a report rarely changes or only serves operators' queries, so that in a large
+fleet most reports are brief. A report is full if it is the first to a control process,
+if the upstream has changed, or if the last full one is old.
 */
 
 import type {
-	Clock, ConfigurationUpdate, Revision, Timer,
+	Clock, ConfigurationUpdate, FailureDomain, Revision, Target, Timer,
 } from '@fireflyglade/model';
 import {
-	reportMethod, type NodeReport, type ReportResponse, type RpcClient,
+	reportMethod, type BriefNodeReport, type NodeReport, type ReportResponse, type RpcClient,
 } from '@fireflyglade/transport';
+import {ControlChooser} from '../_lib/control-chooser/index.js';
 
 /** Options of a reporter. */
 export type ControlReporterOptions = {
 	readonly client: RpcClient;
 	readonly clock: Clock;
+	/** Failure domain of the node, whose control processes are preferred. */
+	readonly domain: FailureDomain;
 	/** Returns the RPC addresses of control processes. */
 	readonly control: () => readonly string[];
+	/** Returns the number of members of the fleet; the larger the fleet, the rarer full reports are. */
+	readonly memberCount: () => number;
 	/** Creates the report, without the wait time. */
 	readonly createReport: () => Omit<NodeReport, 'waitMilliseconds'>;
 	/** Applies a configuration update from an answer. */
@@ -38,11 +47,22 @@
 /** Milliseconds to wait for an answer beyond the time for which it may be held. */
 const answerTimeoutMilliseconds = 1000;
 const retryDelayMilliseconds = 200;
+/** Interval between full reports for each member of the fleet, up to a maximum. */
+const fullReportIntervalPerMemberMilliseconds = 50;
+const maximumFullReportIntervalMilliseconds = 5000;
+
+/** The last full report that a control process received. */
+type FullReport = {
+	readonly address: string;
+	readonly at: number;
+	readonly target: Target | undefined;
+};
 
 /** Reports continuously until it is closed. */
 export class ControlReporter {
 	readonly #options: ControlReporterOptions;
-	#controlIndex: number;
+	readonly #chooser: ControlChooser;
+	#lastFullReport: FullReport | undefined;
 	#isClosed = false;
 	#timer?: Timer;
 	/** Revision in the last report. */
@@ -50,10 +70,10 @@
 	/** True while the update of a long-polling answer is applied; the next report follows immediately and includes the new revision. */
 	#hasFollowUpReport = false;
 
-	/** @param firstIndex - Index of the control process that receives the first report, modulo their number. */
-	constructor(options: ControlReporterOptions, firstIndex: number) {
+	/** @param chooserOffset - A number that differs between nodes, so that they spread over the control processes. */
+	constructor(options: ControlReporterOptions, chooserOffset: number) {
 		this.#options = options;
-		this.#controlIndex = firstIndex;
+		this.#chooser = new ControlChooser(options.domain, chooserOffset);
 	}
 
 	start(): void {
@@ -80,8 +100,7 @@
 	async #reportContinuously(): Promise<void> {
 		while (!this.#isClosed) {
 			const answer = await this.#report(this.#options.waitMilliseconds ?? defaultWaitMilliseconds);
-			if (answer?.quorum !== true || answer.confirmed === false) {
-				this.#controlIndex++;
+			if (!isUsable(answer)) {
 				await this.#pause();
 			}
 		}
@@ -89,14 +108,14 @@
 
 	/** Sends one report. Resolves to undefined on failure. */
 	async #report(wait: number): Promise<ReportResponse | undefined> {
-		const {client, control, createReport, applyUpdate, observeQuorum, prepareAnswerHandler} = this.#options;
-		const addresses = control();
-		const address = addresses[this.#controlIndex % addresses.length]!;
-		const report = {...createReport(), waitMilliseconds: wait};
+		const {client, clock, control, applyUpdate, observeQuorum, prepareAnswerHandler} = this.#options;
+		const address = this.#chooser.choose(control(), clock.now());
+		const report = this.#createReport(address, wait);
 		this.#lastReportedRevision = report.revision;
 		const handleAnswer = prepareAnswerHandler?.();
 		try {
 			const answer = await client.call(reportMethod, address, report, {timeoutMilliseconds: wait + answerTimeoutMilliseconds});
+			this.#recordAnswer(address, answer);
 			if (answer.quorum) {
 				observeQuorum();
 			}
@@ -110,13 +129,50 @@
 			handleAnswer?.(answer);
 			return answer;
 		} catch {
+			this.#chooser.recordFailure(address, clock.now());
+			this.#lastFullReport = undefined;
 			return undefined;
 		}
 	}
 
+	/** Creates a brief report if the last full one still holds, and a full one otherwise. */
+	#createReport(address: string, waitMilliseconds: number): NodeReport | BriefNodeReport {
+		const {clock, createReport, memberCount} = this.#options;
+		const now = clock.now();
+		const report = createReport();
+		const interval = Math.min(maximumFullReportIntervalMilliseconds, memberCount() * fullReportIntervalPerMemberMilliseconds);
+		const last = this.#lastFullReport;
+		if (last?.address === address && last.target === report.target && now - last.at < interval) {
+			return {
+				isBrief: true, node: report.node, revision: report.revision, waitMilliseconds,
+			};
+		}
+
+		this.#lastFullReport = {address, at: now, target: report.target};
+		return {...report, waitMilliseconds};
+	}
+
+	#recordAnswer(address: string, answer: ReportResponse): void {
+		if (answer.needsFullReport === true) {
+			this.#lastFullReport = undefined;
+		}
+
+		if (isUsable(answer)) {
+			this.#chooser.recordAnswer(address, answer.domain);
+			return;
+		}
+
+		this.#chooser.recordFailure(address, this.#options.clock.now());
+	}
+
 	async #pause(): Promise<void> {
 		await new Promise<void>(resolve => {
 			this.#timer = this.#options.clock.startTimer(retryDelayMilliseconds, resolve);
 		});
 	}
 }
+
+/** True if the control process that answered can confirm which configuration is the newest. */
+function isUsable(answer: ReportResponse | undefined): boolean {
+	return answer?.quorum === true && answer.confirmed !== false;
+}
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -4,6 +4,7 @@
 fleet to the node's request path.
 */
 
+import {isDeepStrictEqual} from 'node:util';
 import {
 	GossipMembership, type Connectivity, type MembershipActions, type MembershipEvent, type SelfDescription,
 } from '@fireflyglade/membership';
@@ -164,7 +165,9 @@
 		const reporter = new ControlReporter({
 			client,
 			clock,
+			domain,
 			control: () => this.#controlAddresses,
+			memberCount: () => this.#memberCount,
 			...(reportWaitMilliseconds === undefined ? {} : {waitMilliseconds: reportWaitMilliseconds}),
 			prepareAnswerHandler: () => this.#prepareAnswerHandler(),
 			createReport: () => this.#createReport(),
@@ -272,7 +275,10 @@
 	}
 
 	announceTarget(target: Target | undefined): void {
-		this.#target = target;
+		if (!isDeepStrictEqual(this.#target, target)) {
+			this.#target = target;
+		}
+
 		this.#updateSelfDescription();
 	}
 
--- a/packages/node/src/fleet-runtime/test.ts
+++ b/packages/node/src/fleet-runtime/test.ts
@@ -6,7 +6,7 @@
 } from '@fireflyglade/model';
 import {applyConfigurationChange} from '@fireflyglade/state';
 import {
-	GrpcRpcClient, GrpcRpcServer, reportMethod, type NodeReport, type ReportResponse, type RpcClient, type RpcMethod,
+	GrpcRpcClient, GrpcRpcServer, reportMethod, type BriefNodeReport, type NodeReport, type ReportResponse, type RpcClient, type RpcMethod,
 } from '@fireflyglade/transport';
 import {deliverMethod, type PeerBatch} from '../fleet-runtime-methods/index.js';
 import {KeyFreshness} from '../_lib/key-freshness/index.js';
@@ -34,7 +34,7 @@
 
 /** A control process that accepts changes and answers each report after 20 ms. */
 class FakeControl {
-	readonly reports: NodeReport[] = [];
+	readonly reports: Array<NodeReport | BriefNodeReport> = [];
 	/** True if the answers state that no quorum is reachable. */
 	isWithoutQuorum = false;
 	readonly #server = new GrpcRpcServer(credentials);
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -45,7 +45,7 @@
 	readonly timeoutMilliseconds: number;
 };
 
-/** A node's report to a control process, sent about every second. The response is a long poll: it returns as soon as a newer configuration is accepted. */
+/** A node's full report to a control process. The response is a long poll: it returns as soon as a newer configuration is accepted. */
 export type NodeReport = {
 	readonly node: NodeId;
 	readonly domain: FailureDomain;
@@ -61,6 +61,15 @@
 	readonly relayed: ReadonlyArray<{readonly node: NodeId; readonly revision: Revision}>;
 };
 
+/** A report of a node whose last full report to the same control process still holds, about a tenth of its size. */
+export type BriefNodeReport = {
+	readonly isBrief: true;
+	readonly node: NodeId;
+	readonly revision: Revision;
+	/** As in `NodeReport`. */
+	readonly waitMilliseconds: number;
+};
+
 /** Counts of one team at one node since the node started. */
 export type TeamRequestCounts = {
 	readonly team: TeamName;
@@ -83,6 +92,10 @@
 	readonly peers?: readonly string[];
 	/** RPC addresses of the control processes. */
 	readonly control?: readonly string[];
+	/** Failure domain of the control process, if it is known there. */
+	readonly domain?: FailureDomain;
+	/** True if the report was brief and the control process has no full report of the node. */
+	readonly needsFullReport?: boolean;
 };
 
 /** Asks a gate for the progress of a request whose connection broke. */
@@ -101,7 +114,7 @@
 };
 
 /** Sends the report of a node to a control process. */
-export const reportMethod: RpcMethod<NodeReport, ReportResponse> = {service: 'control', name: 'report'};
+export const reportMethod: RpcMethod<NodeReport | BriefNodeReport, ReportResponse> = {service: 'control', name: 'report'};
 
 /** Asks a gate about a request whose connection broke. */
 export const outcomeMethod: RpcMethod<OutcomeRequest, OutcomeResponse> = {service: 'node', name: 'outcome'};
