Wait for space while the disk of a control process is full

Cause: a write that failed with ENOSPC ended the control process (exit code 4), which then started again and again until the disk had space. Change: SpaceWaitingFileSystem repeats a write at its offset until there is space; to the others the process is one with a slow disk. Logged at its begin and end. Result: two tests of ControlProcess (the first failed before: the process ended) pass: 503 for a change, reads answered, the change accepted after that, close within its time.

--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -11,7 +11,9 @@
 	InvalidInputError, SystemClock, type Clock, type FailureDomain, type MemberId, type Timer,
 } from '@fireflyglade/model';
 import {ConfigurationStateMachine, decodeCommand} from '@fireflyglade/state';
-import {openLogStorage} from '@fireflyglade/storage';
+import {
+	NodeFileSystem, openLogStorage, SpaceWaitingFileSystem, type FileSystem,
+} from '@fireflyglade/storage';
 import {
 	claimMethod, createRpcClient, createRpcServer, encodeMessage, reportMethod, type ClaimCall, type ClaimCallResponse, type FleetCredentials,
 	type RpcClient, type RpcServer,
@@ -39,6 +41,10 @@
 	readonly dataFolder: string;
 	/** True if no other process can open the data folder; the folder is then not locked. */
 	readonly hasExclusiveAccess?: boolean;
+	/** The file system of the data folder; that of the operating system if absent. */
+	readonly fileSystem?: FileSystem;
+	/** Called with true when the disk turns out to be full, and with false once it has space again. The process keeps running meanwhile. */
+	readonly onDiskFull?: (isFull: boolean) => void;
 	readonly operatorAddress: string;
 	readonly rpcAddress: string;
 	/** RPC address of each member, including this one. The process modifies the map. */
@@ -67,6 +73,7 @@
 	readonly client: RpcClient;
 	readonly log: ReplicatedLog;
 	readonly directory: MemberDirectory;
+	readonly fileSystem: SpaceWaitingFileSystem;
 };
 
 const electionTimeoutMilliseconds = 400;
@@ -92,7 +99,9 @@
 	static async #open(options: ControlProcessOptions): Promise<ControlProcess> {
 		const clock = options.clock ?? new SystemClock();
 		const client = createRpcClient(options.credentials, clock);
-		const storage = await openLogStorage(options.dataFolder, {hasExclusiveAccess: options.hasExclusiveAccess ?? false});
+		const {onDiskFull} = options;
+		const fileSystem = new SpaceWaitingFileSystem(options.fileSystem ?? new NodeFileSystem(), {clock, ...(onDiskFull === undefined ? {} : {onDiskFull})});
+		const storage = await openLogStorage(options.dataFolder, {fileSystem, hasExclusiveAccess: options.hasExclusiveAccess ?? false});
 		const stored = await loadStoredState(storage);
 		const consensus = new RaftConsensus({
 			member: options.member,
@@ -125,7 +134,7 @@
 			onStorageFailure: options.onStorageFailure,
 		});
 		return new ControlProcess(options, {
-			clock, client, log, directory,
+			clock, client, log, directory, fileSystem,
 		});
 	}
 
@@ -133,6 +142,7 @@
 	readonly #client: RpcClient;
 	readonly #server: RpcServer;
 	readonly #log: ReplicatedLog;
+	readonly #fileSystem: SpaceWaitingFileSystem;
 	readonly #registry = new FleetRegistry();
 	readonly #reports: ReportService;
 	readonly #proposer: CommandProposer;
@@ -149,8 +159,9 @@
 
 	private constructor(options: ControlProcessOptions, dependencies: ControlDependencies) {
 		const {
-			clock, client, log, directory,
+			clock, client, log, directory, fileSystem,
 		} = dependencies;
+		this.#fileSystem = fileSystem;
 		this.#clock = clock;
 		this.#client = client;
 		this.#log = log;
@@ -226,6 +237,7 @@
 		this.#directory.close();
 		this.#reports.close();
 		await this.#operatorListener.close();
+		this.#fileSystem.stopWaiting();
 		await this.#log.close();
 		await this.#server.close();
 		this.#client.close();
--- a/packages/control/src/control-process/test.ts
+++ b/packages/control/src/control-process/test.ts
@@ -3,7 +3,8 @@
 import path from 'node:path';
 import {expect} from 'chai';
 import {createMemberId, type MemberId} from '@fireflyglade/model';
-import {ControlProcess} from './index.js';
+import {NodeFileSystem, type FileHandle} from '@fireflyglade/storage';
+import {ControlProcess, type ControlProcessOptions} from './index.js';
 
 type Answer = {readonly status: number; readonly body: Record<string, unknown>};
 
@@ -46,6 +47,29 @@
 	return answer.body.error as Record<string, unknown>;
 }
 
+/** A file system that refuses every write while it is full. */
+class FillingFileSystem extends NodeFileSystem {
+	isFull = false;
+
+	override async open(path: string, flags: 'r' | 'r+' | 'w' | 'a' | 'wx'): Promise<FileHandle> {
+		const file = await super.open(path, flags);
+		return {
+			read: async (offset, length) => file.read(offset, length),
+			write: async (offset, data) => {
+				if (this.isFull) {
+					throw Object.assign(new Error('no space left on device'), {code: 'ENOSPC'});
+				}
+
+				await file.write(offset, data);
+			},
+			truncate: async length => file.truncate(length),
+			size: async () => file.size(),
+			sync: async () => file.sync(),
+			close: async () => file.close(),
+		};
+	}
+}
+
 describe('ControlProcess', () => {
 	let folder: string;
 	let running: ControlProcess[];
@@ -60,7 +84,7 @@
 		await rm(folder, {recursive: true, force: true});
 	});
 
-	async function startMember(name: string, members: Map<MemberId, string>, randomSeed: number, join = false): Promise<ControlProcess> {
+	async function startMember(name: string, members: Map<MemberId, string>, randomSeed: number, options: Partial<ControlProcessOptions> = {}): Promise<ControlProcess> {
 		const member = createMemberId(name);
 		const control = await ControlProcess.start({
 			member,
@@ -74,10 +98,10 @@
 			],
 			credentials: {kind: 'token', token: 'fleet-token-of-the-test'},
 			randomSeed,
-			join,
 			onStorageFailure(error) {
 				throw error;
 			},
+			...options,
 		});
 		members.set(member, control.rpcAddress);
 		running.push(control);
@@ -154,6 +178,41 @@
 		expect(resend.body.revision).to.equal(1);
 	});
 
+	it('accepts no change while its disk is full, answers reads, and accepts changes again once there is space', async () => {
+		const fileSystem = new FillingFileSystem();
+		const seen: boolean[] = [];
+		const control = await startMember('control-1', new Map([[createMemberId('control-1'), loopbackAnyPort]]), 1, {
+			fileSystem,
+			onDiskFull(isFull) {
+				seen.push(isFull);
+			},
+		});
+		await sendUntilAnswered([control], 'create team crews rate 20/s burst 10', 'command-1');
+		fileSystem.isFull = true;
+		const refused = await send(control, 'change team crews rate 30/s', 'command-2');
+		expect(refused.status).to.equal(503);
+		const shown = await send(control, 'show teams', 'command-3');
+		expect(shown.status).to.equal(200);
+		expect(JSON.stringify(shown.body)).to.contain('"rate":20');
+		fileSystem.isFull = false;
+		const resend = await sendUntilAnswered([control], 'change team crews rate 30/s', 'command-2');
+		expect(resend.body.revision).to.equal(2);
+		expect(seen).to.deep.equal([true, false]);
+	});
+
+	it('closes while its disk is full, and keeps what it had accepted', async () => {
+		const fileSystem = new FillingFileSystem();
+		const members = new Map([[createMemberId('control-1'), loopbackAnyPort]]);
+		const control = await startMember('control-1', members, 1, {fileSystem, hasExclusiveAccess: true});
+		await sendUntilAnswered([control], 'create team crews rate 20/s burst 10', 'command-1');
+		fileSystem.isFull = true;
+		await send(control, 'change team crews rate 30/s', 'command-2');
+		await control.close();
+		const restarted = await startMember('control-1', members, 7, {hasExclusiveAccess: true});
+		const shown = await sendUntilAnswered([restarted], 'show teams', 'command-3');
+		expect(JSON.stringify(shown.body)).to.contain('"rate":20');
+	});
+
 	it('accepts statements at any of three members, also after the leader has shut down', async () => {
 		const controls = await startMembers(3);
 		for (const [index, control] of controls.entries()) {
@@ -179,7 +238,7 @@
 			[createMemberId('control-2'), others[0]!.rpcAddress],
 			[createMemberId('control-3'), others[1]!.rpcAddress],
 		]);
-		const joined = await startMember('control-4', members, 9, true);
+		const joined = await startMember('control-4', members, 9, {join: true});
 		const added = await sendUntilDone(others, 'add member control-4', 'command-2');
 		expect(added.body.voters).to.include('control-4');
 		const removed = await sendUntilAnswered(others, 'remove member control-1', 'command-3');
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -38,6 +38,9 @@
 		operators: await Promise.all(settings.operators.map(async operator => loadOperator(operator))),
 		credentials: await loadFleetCredentials(settings.security),
 		randomSeed: randomInt(seedUpperBound),
+		onDiskFull(isFull) {
+			logger.warn(isFull ? 'the disk is full; changes wait for space' : 'the disk has space again');
+		},
 		onStorageFailure(error) {
 			logger.error(error.message);
 			process.exit(exitCodes.storage);
--- a/packages/storage/src/open-log-storage/index.ts
+++ b/packages/storage/src/open-log-storage/index.ts
@@ -22,6 +22,7 @@
 	commitSnapshot, readSnapshot, removeOldSnapshots, removePartialSnapshot, writePartialSnapshot,
 } from '../_lib/snapshot-file.js';
 import {NodeFileSystem} from '../node-file-system/index.js';
+import {DiskFullError} from '../space-waiting-file-system/index.js';
 import type {
 	FileHandle, FileSystem, LoadedLog, LogStorage, LogWrite, StoredSnapshot,
 } from '../types.js';
@@ -148,7 +149,18 @@
 		try {
 			await this.#currentFile?.close();
 		} finally {
+			await this.#releaseLock();
+		}
+	}
+
+	/** Releases the lock. Its release is a write, so on a full disk it stays; the next process finds that its owner has ended, and takes it over. */
+	async #releaseLock(): Promise<void> {
+		try {
 			await this.#lock.release();
+		} catch (error: unknown) {
+			if (!(error instanceof DiskFullError)) {
+				throw error;
+			}
 		}
 	}
 
