End one connection, not the process, for a message that can't be handled

Cause: an error other than InvalidInputError in the handler of a frame went up to the socket's event and ended the process; so did a head of a gate whose fields were no list. Change: FrameConnection contains the errors of its handlers, closes the connection and reports them (logged as "message rejected"); decodeGateAnswer checks every message of a gate, its order included, before any of it is passed on.

--- a/packages/control/src/_lib/control-rpc.ts
+++ b/packages/control/src/_lib/control-rpc.ts
@@ -5,7 +5,7 @@
 
 import type {MemberId, NodeId, Revision} from '@fireflyglade/model';
 import type {MembershipChangeRefusal} from '@fireflyglade/consensus';
-import type {NodeReport, RpcMethod} from '@fireflyglade/transport';
+import type {NodeReport, RpcMethod, TeamRequestCounts} from '@fireflyglade/transport';
 
 /** A batch of consensus messages, each encoded by the consensus package. */
 export type DeliverRequest = {readonly messages: readonly Uint8Array[]};
@@ -47,7 +47,13 @@
 /** Forwards a membership change to the leader. */
 export const changeMembersMethod: RpcMethod<ChangeMembersRequest, ChangeMembersAnswer> = {service: 'consensus', name: 'changeMembers'};
 
-/** Node reports that one control process shares with another, with their ages at the time of sending. */
+/** The request counts of the teams, summed over the nodes that report to one control process. */
+export type TeamCountsAnswer = {readonly teams: readonly TeamRequestCounts[]};
+
+/** Asks a control process for the request counts of the teams. They are asked for by a query, as sharing them all the time would be most of the traffic between control processes. */
+export const teamCountsMethod: RpcMethod<Record<string, never>, TeamCountsAnswer> = {service: 'control', name: 'teamCounts'};
+
+/** Node reports that one control process shares with another, without the counts of teams, and with their ages at the time of sending. */
 export type ShareRequest = {
 	readonly reports: ReadonlyArray<{readonly report: NodeReport; readonly ageMilliseconds: number}>;
 	/** Brief reports: node, revision and age in milliseconds. */
--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -19,7 +19,7 @@
 	type RpcClient, type RpcServer,
 } from '@fireflyglade/transport';
 import {
-	changeMembersMethod, deliverMethod, introduceMethod, proposeMethod, shareMethod,
+	changeMembersMethod, deliverMethod, introduceMethod, proposeMethod, shareMethod, teamCountsMethod,
 } from '../_lib/control-rpc.js';
 import {CommandProposer} from '../command-proposer/index.js';
 import {NoQuorumError, type StorageFailedError} from '../errors/index.js';
@@ -53,7 +53,7 @@
 	readonly seeds?: readonly string[];
 	/** Number of control VMs that may fail at the same time. If set, the process repairs the membership and sets the failure domains without an operator. */
 	readonly toleratedVmFailures?: number;
-	/** Called after each such change, to log it. */
+	/** Called after each such change, and for each malformed message of another process, to log it. */
 	readonly onStep?: FleetReconcilerOptions['onStep'];
 	/** True if the replicated log already exists and this process waits until it is added as a member. */
 	readonly join?: boolean;
@@ -98,7 +98,7 @@
 
 	static async #open(options: ControlProcessOptions): Promise<ControlProcess> {
 		const clock = options.clock ?? new SystemClock();
-		const client = createRpcClient(options.credentials, clock);
+		const client = createRpcClient(options.credentials, clock, createMessageErrorLog(options));
 		const {onDiskFull} = options;
 		const fileSystem = new SpaceWaitingFileSystem(options.fileSystem ?? new NodeFileSystem(), {clock, ...(onDiskFull === undefined ? {} : {onDiskFull})});
 		const storage = await openLogStorage(options.dataFolder, {fileSystem, hasExclusiveAccess: options.hasExclusiveAccess ?? false});
@@ -166,7 +166,7 @@
 		this.#client = client;
 		this.#log = log;
 		this.#directory = directory;
-		this.#server = createRpcServer(options.credentials, clock);
+		this.#server = createRpcServer(options.credentials, clock, createMessageErrorLog(options));
 		this.#reports = new ReportService({
 			log,
 			registry: this.#registry,
@@ -190,7 +190,9 @@
 				log, directory, members: this.#membership, registry: this.#registry, clock, toleratedVmFailures: options.toleratedVmFailures,
 				...(options.onStep === undefined ? {} : {onStep: options.onStep}),
 			});
-		const queries = new QueryService({log, registry: this.#registry, clock});
+		const queries = new QueryService({
+			log, registry: this.#registry, clock, fetchTeamCounts: async () => this.#reports.fetchTeamCounts(),
+		});
 		this.#operatorListener = new OperatorListener({
 			statements: new StatementService({
 				log, proposer: this.#proposer, registry: this.#registry, members: this.#membership, queries, clock,
@@ -255,6 +257,7 @@
 		this.#server.handle(introduceMethod, async message => this.#directory.exchange(message));
 		this.#server.handle(changeMembersMethod, async request => this.#membership.answer(request));
 		this.#server.handle(shareMethod, async request => this.#reports.receiveSharedReports(request));
+		this.#server.handle(teamCountsMethod, async () => ({teams: this.#registry.directTeamRequestCounts(this.#clock.now())}));
 		this.#server.handle(reportMethod, async report => this.#reports.answer(report));
 		this.#server.handle(claimMethod, async call => this.#claim(call));
 		this.#rpcAddress = await this.#server.listen(options.rpcAddress);
@@ -298,3 +301,9 @@
 		});
 	}
 }
+
+function createMessageErrorLog({onStep}: ControlProcessOptions): (error: Error) => void {
+	return error => {
+		onStep?.('message-rejected', {reason: error.message, kind: error.name});
+	};
+}
--- a/packages/control/src/fleet-registry/index.ts
+++ b/packages/control/src/fleet-registry/index.ts
@@ -43,6 +43,16 @@
 	};
 }
 
+/** Sums the request counts of each team over several lists of counts. */
+export function sumTeamRequestCounts(lists: ReadonlyArray<readonly TeamRequestCounts[]>): ReadonlyMap<TeamName, TeamRequestCounts> {
+	const sums = new Map<TeamName, TeamRequestCounts>();
+	for (const counts of lists.flat()) {
+		sums.set(counts.team, addTeamRequestCounts(sums.get(counts.team), counts));
+	}
+
+	return sums;
+}
+
 /** The known nodes with their last reports. */
 export class FleetRegistry {
 	readonly #nodes = new Map<NodeId, KnownNode>();
@@ -117,20 +127,10 @@
 		return this.nodes().filter(node => node.isDirect && node.lastReportAt > since);
 	}
 
-	/** Sums the request counts of each team over all reporting nodes. A node's counts begin at its start. */
-	teamRequestCounts(now: number): ReadonlyMap<TeamName, TeamRequestCounts> {
-		const sums = new Map<TeamName, TeamRequestCounts>();
-		for (const node of this.#nodes.values()) {
-			if (!this.hasRecentReport(node, now)) {
-				continue;
-			}
-
-			for (const counts of node.report.teams) {
-				sums.set(counts.team, addTeamRequestCounts(sums.get(counts.team), counts));
-			}
-		}
-
-		return sums;
+	/** Sums the request counts of each team over the nodes that report to this process. A node's counts begin at its start. */
+	directTeamRequestCounts(now: number): readonly TeamRequestCounts[] {
+		const reporting = this.nodes().filter(node => node.isDirect && this.hasRecentReport(node, now));
+		return [...sumTeamRequestCounts(reporting.map(({report}) => report.teams)).values()];
 	}
 
 	/**
--- a/packages/control/src/query-service/index.ts
+++ b/packages/control/src/query-service/index.ts
@@ -9,7 +9,7 @@
 	UnreachableError, type Clock, type Configuration, type ConfigurationChange, type TeamName,
 } from '@fireflyglade/model';
 import type {TeamRequestCounts} from '@fireflyglade/transport';
-import type {FleetRegistry} from '../fleet-registry/index.js';
+import {sumTeamRequestCounts, type FleetRegistry} from '../fleet-registry/index.js';
 import type {ReplicatedLog} from '../replicated-log/index.js';
 
 /** Dependencies of the query service. */
@@ -17,6 +17,8 @@
 	readonly log: ReplicatedLog;
 	readonly registry: FleetRegistry;
 	readonly clock: Clock;
+	/** Returns the request counts of the teams at the other control processes, a list for each one that answers. */
+	readonly fetchTeamCounts: () => Promise<ReadonlyArray<readonly TeamRequestCounts[]>>;
 };
 
 type RowsAnswer = Extract<StatementResponse, {kind: 'rows'}>;
@@ -43,7 +45,7 @@
 	async answer(query: QueryStatement): Promise<RowsAnswer> {
 		await this.#options.log.read();
 		const configuration = this.#options.log.stateMachine().configuration();
-		const table = this.#table(query, configuration);
+		const table = await this.#table(query, configuration);
 		return {
 			kind: 'rows',
 			revision: configuration.revision,
@@ -52,7 +54,7 @@
 		};
 	}
 
-	#table(query: QueryStatement, configuration: Configuration): Table {
+	async #table(query: QueryStatement, configuration: Configuration): Promise<Table> {
 		switch (query.subject) {
 			case 'teams': {
 				return this.#teams(configuration);
@@ -96,8 +98,10 @@
 		}
 	}
 
-	#teams(configuration: Configuration): Table {
-		const countsByTeam = this.#options.registry.teamRequestCounts(this.#options.clock.now());
+	async #teams(configuration: Configuration): Promise<Table> {
+		const {registry, clock, fetchTeamCounts} = this.#options;
+		const others = await fetchTeamCounts();
+		const countsByTeam = sumTeamRequestCounts([registry.directTeamRequestCounts(clock.now()), ...others]);
 		return {
 			columns: ['team', 'rate', 'burst', 'offered', 'goodput', 'failed', 'refused', 'refusedByRate', 'refusedByLoad'],
 			rows: [...configuration.teams.values()].map(team => ({
--- a/packages/control/src/report-service/index.ts
+++ b/packages/control/src/report-service/index.ts
@@ -14,9 +14,11 @@
 	Clock, ConfigurationUpdate, FailureDomain, NodeId, Revision, Timer,
 } from '@fireflyglade/model';
 import type {
-	BriefNodeReport, NodeReport, ReportResponse, RpcClient,
+	BriefNodeReport, NodeReport, ReportResponse, RpcClient, TeamRequestCounts,
 } from '@fireflyglade/transport';
-import {shareMethod, type ShareAnswer, type ShareRequest} from '../_lib/control-rpc.js';
+import {
+	shareMethod, teamCountsMethod, type ShareAnswer, type ShareRequest,
+} from '../_lib/control-rpc.js';
 import {choosePeers} from '../_lib/choose-peers/index.js';
 import {NoQuorumError, ShuttingDownError, StorageFailedError} from '../errors/index.js';
 import type {FleetRegistry, KnownNode} from '../fleet-registry/index.js';
@@ -43,8 +45,9 @@
 const readIntervalMilliseconds = 200;
 const minimumShareIntervalMilliseconds = 250;
 /** Share interval for each other control process, so that the number of messages grows with the number of control processes and not with its square. */
-const shareIntervalPerMemberMilliseconds = 50;
+const shareIntervalPerMemberMilliseconds = 80;
 const shareTimeoutMilliseconds = 1000;
+const teamCountsTimeoutMilliseconds = 500;
 
 /** Answers the reports of nodes. */
 export class ReportService {
@@ -105,6 +108,13 @@
 		return {unknownNodes: unknown.map(([node]) => node)};
 	}
 
+	/** Returns the request counts of the teams at the other control processes; those that don't answer in time are left out. */
+	async fetchTeamCounts(): Promise<ReadonlyArray<readonly TeamRequestCounts[]>> {
+		const {client, otherMemberAddresses} = this.#options;
+		const answers = await Promise.allSettled(otherMemberAddresses().map(async address => client.call(teamCountsMethod, address, {}, {timeoutMilliseconds: teamCountsTimeoutMilliseconds})));
+		return answers.flatMap(answer => answer.status === 'fulfilled' ? [answer.value.teams] : []);
+	}
+
 	/** True if the disk is intact, a leader is known, and the last contact with a quorum is recent. */
 	hasQuorum(): boolean {
 		const status = this.#options.log.status();
@@ -229,7 +239,7 @@
 
 		const isFull = ({report, lastFullReportAt}: KnownNode): boolean => lastFullReportAt > since || this.#nodesToShareInFull.has(report.node);
 		const request: ShareRequest = {
-			reports: recentNodes.filter(node => isFull(node)).map(({report, lastReportAt}) => ({report, ageMilliseconds: now - lastReportAt})),
+			reports: recentNodes.filter(node => isFull(node)).map(({report, lastReportAt}) => ({report: {...report, teams: []}, ageMilliseconds: now - lastReportAt})),
 			briefReports: recentNodes.filter(node => !isFull(node)).map(({report, lastReportAt}) => [report.node, report.revision, Math.round(now - lastReportAt)]),
 		};
 		for (const {report} of recentNodes) {
--- a/packages/node/src/_lib/channel-gates/index.ts
+++ b/packages/node/src/_lib/channel-gates/index.ts
@@ -8,14 +8,8 @@
 for each.
 */
 
-import {
-	InvalidInputError,
-	type Problem, type ProblemCode, type ProblemOutcome, type Target,
-} from '@fireflyglade/model';
-import {
-	FrameConnection,
-	type ResponseFlow, type HeaderFields,
-} from '@fireflyglade/transport';
+import {UnreachableError, type Target} from '@fireflyglade/model';
+import {FrameConnection, type ResponseFlow} from '@fireflyglade/transport';
 import type {
 	CallReceiver, CallRunner, GateCall, RunningCall,
 } from '../call-types.js';
@@ -24,7 +18,7 @@
 	reportBrokenCall, unusedRetries, unreachableGateProblem, type BrokenCall, type GateInquiryOptions,
 } from '../gate-inquiry/index.js';
 import {
-	FieldDecoder, FieldEncoder, peerMessageKinds as kinds, decodeGateMetadata, encodeCall, type EncodedFields,
+	FieldDecoder, FieldEncoder, peerMessageKinds as kinds, decodeGateAnswer, encodeCall, type EncodedFields,
 } from '../peer-messages/index.js';
 
 /** Options of `ChannelGates`. */
@@ -33,6 +27,8 @@
 	readonly token: string;
 	/** Returns the runner for calls that can't be sent over a shared connection. */
 	readonly fallback: (target: Target) => CallRunner;
+	/** Called for each malformed message, to log it. */
+	readonly onMessageError?: (error: Error) => void;
 };
 
 /** The gates of other nodes, with one shared connection to each. */
@@ -157,18 +153,10 @@
 	#handleMessage(message: readonly unknown[]): void {
 		const number = message[1] as number;
 		const call = this.#calls.get(number);
-		try {
-			if (call === undefined) {
-				this.#decodeIgnoredHead(message);
-			} else if (call.handleMessage(message)) {
-				this.#calls.delete(number);
-			}
-		} catch (error) {
-			if (!(error instanceof InvalidInputError)) {
-				throw error;
-			}
-
-			this.#connection.destroy(error);
+		if (call === undefined) {
+			this.#decodeIgnoredHead(message);
+		} else if (call.handleMessage(message)) {
+			this.#calls.delete(number);
 		}
 	}
 
@@ -207,40 +195,50 @@
 		this.#flow = flow;
 	}
 
-	/** Handles a message of the gate. Returns true if it is the last one of the call. */
+	/**
+	Handles a message of the gate. Returns true if it is the last one of the call.
+
+	@throws {InvalidInputError} The message is malformed or out of order.
+	*/
 	handleMessage(message: readonly unknown[]): boolean {
-		const [kind] = message;
-		switch (kind) {
-			case kinds.head: {
-				return this.#handleHead(message);
+		const answer = decodeGateAnswer(message, this.#decoder, this.#isAnswered);
+		switch (answer.kind) {
+			case 'head': {
+				this.#isAnswered = true;
+				this.#receiver.onHead(answer.head, this, answer.metadata);
+				if (answer.bytes !== undefined) {
+					this.#receiver.onData(answer.bytes);
+				}
+
+				if (answer.isWhole) {
+					this.#receiver.onEnd({});
+				}
+
+				return answer.isWhole;
 			}
 
-			case kinds.data: {
-				this.#receiver.onData(message[2] as Uint8Array);
+			case 'data': {
+				this.#receiver.onData(answer.bytes);
 				return false;
 			}
 
-			case kinds.end: {
-				this.#receiver.onEnd(message[2] as HeaderFields);
+			case 'end': {
+				this.#receiver.onEnd(answer.trailers);
 				return true;
 			}
 
-			case kinds.problem: {
-				const [code, outcome, detail, wait, metadata] = message.slice(2) as [ProblemCode, ProblemOutcome, string, number | undefined, unknown];
-				const problem: Problem = {
-					code, outcome, detail, ...(wait === null ? {} : {retryAfterMilliseconds: wait}),
-				};
-				this.#receiver.onProblem(problem, decodeGateMetadata(metadata));
+			case 'problem': {
+				this.#receiver.onProblem(answer.problem, answer.metadata);
 				return true;
 			}
 
-			case kinds.broken: {
+			case 'broken': {
 				this.#receiver.onBroken();
 				return true;
 			}
 
 			default: {
-				return false;
+				throw new UnreachableError(answer);
 			}
 		}
 	}
@@ -271,22 +269,4 @@
 
 		void reportBrokenCall({...this.#sent, isCancelled: () => this.isCancelled}, options);
 	}
-
-	/** Handles the head of a response, with its first bytes and its end if the same message holds them. */
-	#handleHead(message: readonly unknown[]): boolean {
-		const [status, fields, metadata, bytes, isWhole] = message.slice(2) as [number, EncodedFields, unknown, unknown, unknown];
-		const headers = this.#decoder.decodeFields(fields);
-		this.#isAnswered = true;
-		this.#receiver.onHead({status, headers}, this, decodeGateMetadata(metadata));
-		if (bytes instanceof Uint8Array) {
-			this.#receiver.onData(bytes);
-		}
-
-		if (isWhole === 1) {
-			this.#receiver.onEnd({});
-			return true;
-		}
-
-		return false;
-	}
 }
--- a/packages/node/src/_lib/peer-messages/index.ts
+++ b/packages/node/src/_lib/peer-messages/index.ts
@@ -8,9 +8,9 @@
 */
 
 import {
-	InvalidInputError, type RequestId, type ServiceName, type TeamName,
+	InvalidInputError, type Problem, type ProblemCode, type RequestId, type ServiceName, type TeamName,
 } from '@fireflyglade/model';
-import type {HeaderFields} from '@fireflyglade/transport';
+import type {HeaderFields, ResponseHead} from '@fireflyglade/transport';
 import type {GateMetadata} from '../call-types.js';
 import type {JobClaimFields, PeerCall} from '../peer-fields/index.js';
 
@@ -111,7 +111,13 @@
 	decodeFields(fields: EncodedFields): HeaderFields {
 		const decoded: Record<string, string | readonly string[]> = {};
 		for (let index = 0; index + 1 < fields.length; index += 2) {
-			decoded[this.#decodeName(fields[index])] = fields[index + 1] as string | readonly string[];
+			const name = this.#decodeName(fields[index]);
+			const value = fields[index + 1];
+			if (!isFieldValue(value)) {
+				throw new InvalidInputError('the value of a field is malformed');
+			}
+
+			decoded[name] = value;
 		}
 
 		return decoded;
@@ -177,6 +183,100 @@
 	return requestId.slice(0, requestId.lastIndexOf('.')) as RequestId;
 }
 
+function isFieldValue(value: unknown): value is string | readonly string[] {
+	return typeof value === 'string' || (Array.isArray(value) && value.every(part => typeof part === 'string'));
+}
+
+/** A message of a gate about one call, decoded. */
+export type GateAnswer =
+	| {readonly kind: 'head'; readonly head: ResponseHead; readonly metadata: GateMetadata; readonly bytes: Uint8Array | undefined; readonly isWhole: boolean}
+	| {readonly kind: 'data'; readonly bytes: Uint8Array}
+	| {readonly kind: 'end'; readonly trailers: HeaderFields}
+	| {readonly kind: 'problem'; readonly problem: Problem; readonly metadata: GateMetadata}
+	| {readonly kind: 'broken'};
+
+/**
+Decodes a message of a gate about one call. A message that is not exactly as a gate
+sends it is refused, as a caller must not take a part of it for an answer.
+
+@param message - The message.
+@param decoder - Decodes the header fields of this direction of the connection.
+@param isAnswered - True if the head of the response came before.
+@throws {InvalidInputError} The message is malformed or out of order.
+*/
+export function decodeGateAnswer(message: readonly unknown[], decoder: FieldDecoder, isAnswered: boolean): GateAnswer {
+	const [kind] = message;
+	const isInOrder = isAnswered === (kind === peerMessageKinds.data || kind === peerMessageKinds.end || kind === peerMessageKinds.broken);
+	const answer = isInOrder ? decodeAnswerOfKind(message, decoder) : undefined;
+	if (answer === undefined) {
+		throw new InvalidInputError('a message of a gate is malformed or out of order');
+	}
+
+	return answer;
+}
+
+function decodeAnswerOfKind(message: readonly unknown[], decoder: FieldDecoder): GateAnswer | undefined {
+	const [kind, , value] = message;
+	switch (kind) {
+		case peerMessageKinds.head: {
+			return decodeHead(message, decoder);
+		}
+
+		case peerMessageKinds.data: {
+			return value instanceof Uint8Array ? {kind: 'data', bytes: value} : undefined;
+		}
+
+		case peerMessageKinds.end: {
+			const isTrailers = typeof value === 'object' && value !== null && Object.values(value).every(part => isFieldValue(part));
+			return isTrailers ? {kind: 'end', trailers: value as HeaderFields} : undefined;
+		}
+
+		case peerMessageKinds.problem: {
+			return decodeProblem(message);
+		}
+
+		case peerMessageKinds.broken: {
+			return {kind: 'broken'};
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+}
+
+function decodeHead(message: readonly unknown[], decoder: FieldDecoder): GateAnswer | undefined {
+	const [status, fields, metadata, bytes, wholeMark] = message.slice(2);
+	const isBytes = bytes === undefined || bytes === null || bytes instanceof Uint8Array;
+	if (!isFinalStatus(status) || !Array.isArray(fields) || !isBytes || (wholeMark !== undefined && wholeMark !== 1)) {
+		return undefined;
+	}
+
+	return {
+		kind: 'head', head: {status, headers: decoder.decodeFields(fields as EncodedFields)}, metadata: decodeGateMetadata(metadata), bytes: bytes ?? undefined, isWhole: wholeMark === 1,
+	};
+}
+
+function decodeProblem(message: readonly unknown[]): GateAnswer | undefined {
+	const [code, outcome, detail, wait, metadata] = message.slice(2);
+	const isOutcome = outcome === 'not-run' || outcome === 'unknown';
+	if (typeof code !== 'string' || !isOutcome || typeof detail !== 'string' || !(wait === null || Number.isFinite(wait))) {
+		return undefined;
+	}
+
+	return {
+		kind: 'problem',
+		problem: {
+			code: code as ProblemCode, outcome, detail, ...(wait === null ? {} : {retryAfterMilliseconds: wait as number}),
+		},
+		metadata: decodeGateMetadata(metadata),
+	};
+}
+
+function isFinalStatus(value: unknown): value is number {
+	return Number.isInteger(value) && (value as number) >= 200 && (value as number) <= 599;
+}
+
 function areCounts(values: readonly unknown[]): boolean {
 	return values.every(value => Number.isSafeInteger(value) && (value as number) >= 0);
 }
--- a/packages/node/src/channel-listener/index.ts
+++ b/packages/node/src/channel-listener/index.ts
@@ -3,7 +3,7 @@
 that multiplex many concurrent calls as frames.
 */
 
-import {InvalidInputError, type Clock, type Problem} from '@fireflyglade/model';
+import type {Clock, Problem} from '@fireflyglade/model';
 import {
 	FrameConnectionError, FrameListener, selectResponseFields,
 	type ResponseFlow, type ResponseHead, type FrameConnection, type FrameConnectionHandlers, type HeaderFields,
@@ -24,6 +24,8 @@
 	/** The shared token of the fleet, which other nodes must send first. */
 	readonly token: string;
 	readonly clock: Clock;
+	/** Called for each malformed message, to log it. */
+	readonly onMessageError?: (error: Error) => void;
 };
 
 /** Creates the listener for other nodes' calls over channels. */
@@ -49,33 +51,6 @@
 	}
 
 	onMessage(message: readonly unknown[]): void {
-		try {
-			this.#handleMessage(message);
-		} catch (error) {
-			if (!(error instanceof InvalidInputError)) {
-				throw error;
-			}
-
-			this.#connection().destroy(error);
-		}
-	}
-
-	onDrain(): void {
-		for (const call of this.#calls.values()) {
-			call.resumeAfterDrain();
-		}
-	}
-
-	/** Cancels all calls of a closed connection. The entry node queries their outcomes over RPC. */
-	onClosed(): void {
-		const calls = [...this.#calls.values()];
-		this.#calls.clear();
-		for (const call of calls) {
-			call.running?.cancel();
-		}
-	}
-
-	#handleMessage(message: readonly unknown[]): void {
 		const [kind, value] = message;
 		if (!this.#isAuthenticated) {
 			this.#authenticate(kind === kinds.hello && typeof value === 'string' && this.#secretVerifier.matches(value));
@@ -112,6 +87,21 @@
 		}
 	}
 
+	onDrain(): void {
+		for (const call of this.#calls.values()) {
+			call.resumeAfterDrain();
+		}
+	}
+
+	/** Cancels all calls of a closed connection. The entry node queries their outcomes over RPC. */
+	onClosed(): void {
+		const calls = [...this.#calls.values()];
+		this.#calls.clear();
+		for (const call of calls) {
+			call.running?.cancel();
+		}
+	}
+
 	#authenticate(isAllowed: boolean): void {
 		this.#isAuthenticated = isAllowed;
 		if (!isAllowed) {
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -108,7 +108,7 @@
 		if (channelAddress !== undefined && credentials.kind === 'token') {
 			const {token} = credentials;
 			this.#channelGates = new ChannelGates({...dependencies, token, fallback: target => this.#remoteGates.to(target)});
-			this.#channelListener = createChannelListener({gate: this.#gate, token, clock});
+			this.#channelListener = createChannelListener({...dependencies, gate: this.#gate, token});
 		}
 
 		const attempts: CallAttemptsOptions = {
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -118,6 +118,8 @@
 	readonly observer: NodeObserver;
 	/** Called for each response of the upstream that did not arrive completely, for logging. */
 	readonly onIncompleteResponse?: (lost: IncompleteResponse) => void;
+	/** Called for each message of another process that was malformed or could not be handled. */
+	readonly onMessageError?: (error: Error) => void;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -9,7 +9,7 @@
 	GossipMembership, type Connectivity, type MembershipActions, type MembershipEvent, type SelfDescription,
 } from '@fireflyglade/membership';
 import {
-	initialLabel, UnreachableError, type Clock, type Configuration, type ConfigurationUpdate, type FailureDomain, type GateLevel, type KeyId, type NodeId, type RequestId,
+	initialLabel, UnreachableError, type Clock, type Configuration, type ConfigurationUpdate, type FailureDomain, type GateLevel, type KeyId, type NodeId, type RequestId, type Revision,
 	type Target, type TeamName, type Timer,
 } from '@fireflyglade/model';
 import {
@@ -70,6 +70,8 @@
 /** Interval at which the description of this node, the lease holders and the targets are refreshed. */
 const refreshMilliseconds = 500;
 const fetchTimeoutMilliseconds = 1000;
+/** Time for which a newer configuration is awaited from control before it is fetched from the peer that has it. */
+const fetchDelayMilliseconds = 400;
 /** Longest time that `close` waits for the leave notice and the returned tokens to be delivered. */
 const leaveFlushTimeoutMilliseconds = 300;
 const leaveFlushPollMilliseconds = 5;
@@ -496,7 +498,7 @@
 			}
 
 			case 'newer-revision': {
-				void this.#fetchConfiguration(event.rpcAddress);
+				void this.#fetchConfiguration(event.rpcAddress, event.revision);
 				return;
 			}
 
@@ -576,14 +578,25 @@
 		return true;
 	}
 
-	/** Fetches newer changes from a peer, or the whole configuration if the peer no longer has all of the changes. */
-	async #fetchConfiguration(address: string): Promise<void> {
+	async #waitForControl(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#options.clock.startTimer(fetchDelayMilliseconds, resolve);
+		});
+	}
+
+	/** Unless control brings the revision soon, fetches newer changes from a peer, or the whole configuration if the peer no longer has all of the changes. */
+	async #fetchConfiguration(address: string, revision: Revision): Promise<void> {
 		if (this.#isFetchingConfiguration) {
 			return;
 		}
 
 		this.#isFetchingConfiguration = true;
 		try {
+			await this.#waitForControl();
+			if (this.configuration().revision >= revision) {
+				return;
+			}
+
 			const {update} = await this.#options.client.call(fetchConfigurationMethod, address, {after: this.configuration().revision}, {timeoutMilliseconds: fetchTimeoutMilliseconds});
 			if (update !== undefined) {
 				this.#applyUpdate(update);
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -85,8 +85,12 @@
 	const {credentials} = options;
 	const randomSeed = options.randomSeed ?? randomInt(seedLimit);
 	const clock = new SystemClock();
-	const client = createRpcClient(credentials, clock);
-	const server = createRpcServer(credentials, clock);
+	const onMessageError = (error: Error): void => {
+		options.onLogEvent?.('message rejected', {reason: error.message, kind: error.name});
+	};
+
+	const client = createRpcClient(credentials, clock, onMessageError);
+	const server = createRpcServer(credentials, clock, onMessageError);
 	const fleet = new FleetRuntime({
 		node: settings.node,
 		domain: settings.domain,
@@ -129,6 +133,7 @@
 		},
 		observer: options.onRequestFinished === undefined ? observer : withRequestListener(observer, options.onRequestFinished),
 		...(options.onIncompleteResponse === undefined ? {} : {onIncompleteResponse: options.onIncompleteResponse}),
+		onMessageError,
 		clock,
 		random: new SeededRandom(randomSeed),
 	});
--- a/packages/transport/src/create-rpc/index.ts
+++ b/packages/transport/src/create-rpc/index.ts
@@ -10,11 +10,15 @@
 import {GrpcRpcServer} from '../grpc-rpc-server/index.js';
 import type {FleetCredentials, RpcClient, RpcServer} from '../types.js';
 
-/** Creates a client of remote calls for the given kind of credentials. */
-export function createRpcClient(credentials: FleetCredentials, clock: Clock): RpcClient {
+/**
+Creates a client of remote calls for the given kind of credentials.
+
+@param onMessageError - Called for each malformed message, to log it.
+*/
+export function createRpcClient(credentials: FleetCredentials, clock: Clock, onMessageError?: (error: Error) => void): RpcClient {
 	switch (credentials.kind) {
 		case 'token': {
-			return new FrameRpcClient(credentials.token, clock);
+			return new FrameRpcClient(credentials.token, clock, onMessageError);
 		}
 
 		case 'mutual-tls': {
@@ -23,11 +27,15 @@
 	}
 }
 
-/** Creates a server of remote calls for the given kind of credentials. */
-export function createRpcServer(credentials: FleetCredentials, clock: Clock): RpcServer {
+/**
+Creates a server of remote calls for the given kind of credentials.
+
+@param onMessageError - Called for each malformed message, to log it.
+*/
+export function createRpcServer(credentials: FleetCredentials, clock: Clock, onMessageError?: (error: Error) => void): RpcServer {
 	switch (credentials.kind) {
 		case 'token': {
-			return new FrameRpcServer(credentials.token, clock);
+			return new FrameRpcServer(credentials.token, clock, onMessageError);
 		}
 
 		case 'mutual-tls': {
--- a/packages/transport/src/frame-connection/index.ts
+++ b/packages/transport/src/frame-connection/index.ts
@@ -36,6 +36,8 @@
 	readonly clock: Clock;
 	/** Maximum size of a received message; two mebibytes if absent. */
 	readonly maximumMessageBytes?: number;
+	/** Called when a message of the peer was malformed or its handler failed, after which the connection is closed; for logging. */
+	readonly onMessageError?: (error: Error) => void;
 };
 
 const lengthPrefixBytes = 4;
@@ -66,6 +68,7 @@
 	readonly #handlers: FrameConnectionHandlers;
 	readonly #clock: Clock;
 	readonly #maximumMessageBytes: number;
+	readonly #onMessageError: ((error: Error) => void) | undefined;
 	#unsentMessages: Array<readonly unknown[]> = [];
 	#flushCount = 0;
 	/** Received bytes of messages that are not complete yet. */
@@ -79,11 +82,12 @@
 	#isClosed = false;
 	#isWriteBufferFull = false;
 
-	constructor(socket: Socket, handlers: FrameConnectionHandlers, {clock, maximumMessageBytes}: FrameConnectionOptions) {
+	constructor(socket: Socket, handlers: FrameConnectionHandlers, {clock, maximumMessageBytes, onMessageError}: FrameConnectionOptions) {
 		this.#socket = socket;
 		this.#handlers = handlers;
 		this.#clock = clock;
 		this.#maximumMessageBytes = maximumMessageBytes ?? defaultMaximumMessageBytes;
+		this.#onMessageError = onMessageError;
 		this.#lastReceivedAt = clock.now();
 		this.#isConnected = !socket.connecting;
 		socket.on('data', (bytes: Uint8Array) => {
@@ -231,7 +235,7 @@
 	#handleMessage(bytes: Uint8Array): void {
 		const message = decodeFrame(bytes);
 		if (message === undefined) {
-			this.destroy(new FrameConnectionError('a message is not a valid MessagePack array'));
+			this.#rejectMessage(new FrameConnectionError('a message is not a valid MessagePack array'));
 			return;
 		}
 
@@ -241,10 +245,24 @@
 		}
 
 		if (message[0] !== probeReplyKind) {
+			this.#passOn(message);
+		}
+	}
+
+	/** Passes a message to its handler. An error of the handler ends this connection alone, as it would otherwise end the process. */
+	#passOn(message: readonly unknown[]): void {
+		try {
 			this.#handlers.onMessage(message);
+		} catch (error: unknown) {
+			this.#rejectMessage(error instanceof Error ? error : new FrameConnectionError('the handler of a message failed', {cause: error}));
 		}
 	}
 
+	#rejectMessage(error: Error): void {
+		this.#onMessageError?.(error);
+		this.destroy(error);
+	}
+
 	#handleClosed(error: Error | undefined): void {
 		if (this.#isClosed) {
 			return;
--- a/packages/transport/src/frame-connection/test.ts
+++ b/packages/transport/src/frame-connection/test.ts
@@ -56,6 +56,26 @@
 		connection.close();
 	});
 
+	it('ends with the error of a failed message handler, which is reported', async () => {
+		const reported: Error[] = [];
+		const ended = await new Promise<Error | undefined>(resolve => {
+			const connection = FrameConnection.open(address, {
+				onMessage() {
+					throw new TypeError('the handler failed');
+				},
+				onClosed: resolve,
+			}, {
+				clock,
+				onMessageError(error) {
+					reported.push(error);
+				},
+			});
+			connection.send([5, 'first']);
+		});
+		expect(ended).to.be.instanceOf(TypeError);
+		expect(reported).to.deep.equal([ended]);
+	});
+
 	it('is closed by the peer when a message is too large', async () => {
 		let isClosed = false;
 		const connection = FrameConnection.open(address, {
--- a/packages/transport/src/frame-rpc-client/index.ts
+++ b/packages/transport/src/frame-rpc-client/index.ts
@@ -10,7 +10,7 @@
 import type {Clock, Timer} from '@fireflyglade/model';
 import {frameRpcKinds as kinds, maximumFrameRpcBytes} from '../_lib/frame-rpc-wire.js';
 import {methodPath} from '../_lib/rpc-wire.js';
-import {FrameConnection} from '../frame-connection/index.js';
+import {FrameConnection, type FrameConnectionOptions} from '../frame-connection/index.js';
 import {decodeMessage, encodeMessage} from '../message-codec/index.js';
 import {RpcError, type RpcFailure} from '../rpc-error/index.js';
 import type {RpcCallOptions, RpcClient, RpcMethod} from '../types.js';
@@ -21,12 +21,14 @@
 export class FrameRpcClient implements RpcClient {
 	readonly #token: string;
 	readonly #clock: Clock;
+	readonly #onMessageError: ((error: Error) => void) | undefined;
 	/** Connections by address, least recently used first. */
 	readonly #connections = new Map<string, RpcConnection>();
 
-	constructor(token: string, clock: Clock) {
+	constructor(token: string, clock: Clock, onMessageError?: (error: Error) => void) {
 		this.#token = token;
 		this.#clock = clock;
+		this.#onMessageError = onMessageError;
 	}
 
 	async call<Request, Response>(method: RpcMethod<Request, Response>, address: string, request: Request, {timeoutMilliseconds}: RpcCallOptions): Promise<Response> {
@@ -49,11 +51,15 @@
 			this.#evictLeastRecentlyUsed();
 		}
 
-		const connection = known === undefined || known.isClosed ? new RpcConnection(address, this.#token, this.#clock) : known;
+		const connection = known === undefined || known.isClosed ? new RpcConnection(address, this.#token, this.#createConnectionOptions()) : known;
 		this.#connections.set(address, connection);
 		return connection;
 	}
 
+	#createConnectionOptions(): FrameConnectionOptions {
+		return {clock: this.#clock, maximumMessageBytes: maximumFrameRpcBytes, ...(this.#onMessageError === undefined ? {} : {onMessageError: this.#onMessageError})};
+	}
+
 	#evictLeastRecentlyUsed(): void {
 		const [oldest] = this.#connections;
 		if (oldest !== undefined && this.#connections.size >= maximumConnections) {
@@ -81,8 +87,8 @@
 	/** True once the server has rejected the fleet token. */
 	#isUnauthenticated = false;
 
-	constructor(address: string, token: string, clock: Clock) {
-		this.#clock = clock;
+	constructor(address: string, token: string, options: FrameConnectionOptions) {
+		this.#clock = options.clock;
 		this.#connection = FrameConnection.open(address, {
 			onMessage: message => {
 				this.#handleMessage(message);
@@ -90,7 +96,7 @@
 			onClosed: error => {
 				this.#failAll(this.#isUnauthenticated ? 'unauthenticated' : 'unavailable', error?.message ?? 'the connection was closed');
 			},
-		}, {clock, maximumMessageBytes: maximumFrameRpcBytes});
+		}, options);
 		this.#connection.send([kinds.hello, token]);
 	}
 
--- a/packages/transport/src/frame-rpc-server/index.ts
+++ b/packages/transport/src/frame-rpc-server/index.ts
@@ -26,10 +26,12 @@
 	readonly #listener: FrameListener;
 	#runningCalls = 0;
 
-	constructor(token: string, clock: Clock) {
+	constructor(token: string, clock: Clock, onMessageError?: (error: Error) => void) {
 		this.#clock = clock;
 		this.#tokenDigest = digest(token);
-		this.#listener = new FrameListener(connection => this.#accept(connection), {clock, maximumMessageBytes: maximumFrameRpcBytes});
+		this.#listener = new FrameListener(connection => this.#accept(connection), {
+			clock, maximumMessageBytes: maximumFrameRpcBytes, ...(onMessageError === undefined ? {} : {onMessageError}),
+		});
 	}
 
 	handle<Request, Response>(method: RpcMethod<Request, Response>, handler: (request: Request) => Promise<Response>): void {
