Give each fleet of daemons in tests a loopback address of its own

Handing an open socket over was ruled out: the daemons are started from settings, as users start them. Change: DaemonFleet draws an address in 127.0.0.0/8 (drawLoopbackHost); outgoing connections keep 127.0.0.1 as their source (checked), so no one else asks for ports there.

--- a/packages/scenario/src/daemon-fleet/index.ts
+++ b/packages/scenario/src/daemon-fleet/index.ts
@@ -14,6 +14,7 @@
 import {request} from 'undici';
 import type {StatementResponse, StatementErrorResponse} from '@fireflyglade/language';
 import {DaemonProcess} from '../daemon-process/index.js';
+import {drawLoopbackHost} from '../_lib/draw-loopback-host/index.js';
 import {StandInUpstream, type StandInUpstreamOptions} from '../stand-in-upstream/index.js';
 
 /** Specification of a node and its stand-in upstream. */
@@ -55,7 +56,6 @@
 	| {readonly kind: 'answered'; readonly answer: StatementResponse}
 	| {readonly kind: 'refused'; readonly status: number; readonly error: StatementErrorResponse['error']};
 
-const loopback = '127.0.0.1';
 const operatorToken = 'operator-token-of-the-daemon-fleet';
 const fleetToken = 'fleet-token-of-the-daemon-fleet';
 const portsPerNode = 6;
@@ -68,12 +68,12 @@
 	return fileURLToPath(new URL(`../../../${name}/dist/main.js`, import.meta.url));
 }
 
-/** Returns ports that are free now. Another process can take one before a daemon binds it. */
-async function findFreePorts(count: number): Promise<readonly number[]> {
+/** Returns ports that are free on a host. */
+async function findFreePorts(count: number, host: string): Promise<readonly number[]> {
 	const servers = Array.from({length: count}, () => createServer());
 	const ports: number[] = [];
 	for (const server of servers) {
-		server.listen(0, loopback);
+		server.listen(0, host);
 		await once(server, 'listening');
 		ports.push((server.address() as AddressInfo).port);
 	}
@@ -104,6 +104,8 @@
 	readonly control: ControlDaemon[] = [];
 	readonly nodes: NodeDaemon[] = [];
 	readonly #options: DaemonFleetOptions;
+	/** Address of all listeners, which no other process uses, so that a port that was free stays free until its daemon binds it. */
+	readonly #host = drawLoopbackHost();
 	#controlRpcAddresses: readonly string[] = [];
 
 	private constructor(options: DaemonFleetOptions) {
@@ -222,12 +224,12 @@
 	}
 
 	async #startControl(): Promise<void> {
-		const ports = await findFreePorts(this.#options.control * portsPerControlProcess);
+		const ports = await findFreePorts(this.#options.control * portsPerControlProcess, this.#host);
 		const names = Array.from({length: this.#options.control}, (_, index) => `control-${index + 1}`);
-		const members = names.map((member, index) => ({member, rpcAddress: `${loopback}:${ports[index * portsPerControlProcess]}`}));
+		const members = names.map((member, index) => ({member, rpcAddress: `${this.#host}:${ports[index * portsPerControlProcess]}`}));
 		this.#controlRpcAddresses = members.map(({rpcAddress}) => rpcAddress);
 		for (const [index, name] of names.entries()) {
-			const operatorAddress = `${loopback}:${ports[(index * portsPerControlProcess) + 1]}`;
+			const operatorAddress = `${this.#host}:${ports[(index * portsPerControlProcess) + 1]}`;
 			const settingsFile = await this.#writeSettings(name, {
 				member: name,
 				domain: 'control',
@@ -249,8 +251,8 @@
 	}
 
 	async #startNodes(): Promise<void> {
-		const ports = await findFreePorts(this.#options.nodes.length * portsPerNode);
-		const seeds = this.#options.nodes.map((_, index) => `${loopback}:${ports[index * portsPerNode]}`);
+		const ports = await findFreePorts(this.#options.nodes.length * portsPerNode, this.#host);
+		const seeds = this.#options.nodes.map((_, index) => `${this.#host}:${ports[index * portsPerNode]}`);
 		for (const [index, plan] of this.#options.nodes.entries()) {
 			await this.#startNode(plan, ports.slice(index * portsPerNode, (index + 1) * portsPerNode), seeds);
 		}
@@ -259,7 +261,7 @@
 	}
 
 	async #startNode(plan: FleetNodePlan, ports: readonly number[], seeds: readonly string[]): Promise<void> {
-		const [rpcAddress, callersAddress, gateAddress, announceAddress, egressAddress, statusAddress] = ports.map(port => `${loopback}:${port}`);
+		const [rpcAddress, callersAddress, gateAddress, announceAddress, egressAddress, statusAddress] = ports.map(port => `${this.#host}:${port}`);
 		const settingsFile = await this.#writeSettings(plan.node, {
 			node: plan.node,
 			domain: plan.domain,
