--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -9,9 +9,13 @@
 import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import http from 'node:http';
+import {setTimeout as wait} from 'node:timers/promises';
 import {call, now} from './deployment.mjs';
 
 const heartbeatIntervalMilliseconds = 1500;
+const longRequestBytes = 100_000;
+/** Time that the answer to a request that isn't in takes. */
+const earlyAnswerMilliseconds = 200;
 
 /** A target beside one node. */
 export class Target {
@@ -23,13 +27,16 @@
 	#running = 0;
 	#workMilliseconds;
 	#answer;
+	#rejectsEarly;
 
 	/**
 	@param machine - The machine on which the target runs.
 	@param options.work - Returns the milliseconds of work of a request.
 	@param options.answer - Writes the answer to a request that has run; the usual one if absent.
+	@param options.rejectsEarly - True if it answers long requests with 500 before they are in.
 	*/
-	constructor(machine, record, {work, slots = 72, answer}) {
+	constructor(machine, record, {work, slots = 72, answer, rejectsEarly = false}) {
+		this.#rejectsEarly = rejectsEarly;
 		this.#machine = machine;
 		this.#record = record;
 		this.#workMilliseconds = work;
@@ -123,10 +130,14 @@
 		}
 
 		this.#running++;
+		if (this.#rejectsEarly && Number(headers['content-length'] ?? 0) > longRequestBytes) {
+			await this.#rejectEarly(request, response, attempt);
+		}
+
 		const body = await readBody(request);
-		if (body === undefined) {
+		if (body === undefined || response.headersSent) {
 			this.#running--;
-			this.#record.write(`target ${this.id}: ${attempt} broke off before its end, and isn't run`);
+			this.#record.write(`target ${this.id}: ${attempt} ${body === undefined ? 'broke off before its end' : 'is in after its answer'}, and isn't run`);
 			return;
 		}
 
@@ -149,6 +160,18 @@
 		this.#record.write(`target ${this.id}: answered ${attempt}`);
 	}
 
+	/** Answers with a failure of its own before the request is in, and reads on. */
+	async #rejectEarly(request, response, attempt) {
+		const text = 'failed';
+		this.#record.write(`target ${this.id} on ${this.#machine.name}: answers ${attempt} with 500 before it is in`);
+		response.writeHead(500, {
+			'attempt-id': attempt, 'server-seal': `${attempt}.${text.length}`, 'server-load': this.#load(), 'content-length': text.length,
+		});
+		response.flushHeaders();
+		await wait(earlyAnswerMilliseconds);
+		response.end(text);
+	}
+
 	/** Works; resolves to false if the connection closes meanwhile. */
 	async #work(request, response, run) {
 		return new Promise(resolve => {
