Keep departures of upstreams in the replicated log

Cause: the node kept departures in memory alone, and acknowledged them. The reviewer's guess at AnnouncementFilter was right in part; asking the health path, his proposal, was ruled out, as upstreams' health may lag or mislead, and the stand-in answers 200 while it leaves. Change: a departure is committed to the replicated log before it is acknowledged (503 without a quorum), and a node that has started reads the departures at its upstream's address before it uses one. Leave notices name a start, so that a late one doesn't keep a new start out.

--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -1,7 +1,7 @@
 /**
 A control process. It runs a member of the replicated log with its state machine,
 executes the statements of operators, answers the reports of nodes, and records the
-claims of gates.
+claims of gates and the departures of upstreams.
 */
 
 import {
@@ -15,13 +15,14 @@
 	NodeFileSystem, openLogStorage, SpaceWaitingFileSystem, type FileSystem,
 } from '@fireflyglade/storage';
 import {
-	claimMethod, createRpcClient, createRpcServer, encodeMessage, reportMethod, type ClaimCall, type ClaimCallResponse, type FleetCredentials,
-	type RpcClient, type RpcServer,
+	claimMethod, createRpcClient, createRpcServer, encodeMessage, findDeparturesMethod, recordDepartureMethod, reportMethod,
+	type ClaimCall, type ClaimCallResponse, type FleetCredentials, type RpcClient, type RpcServer,
 } from '@fireflyglade/transport';
 import {
 	changeMembersMethod, deliverMethod, introduceMethod, proposeMethod, shareMethod, teamCountsMethod,
 } from '../_lib/control-rpc.js';
 import {CommandProposer} from '../command-proposer/index.js';
+import {DepartureService} from '../departure-service/index.js';
 import {NoQuorumError, type StorageFailedError} from '../errors/index.js';
 import {FleetReconciler, type FleetReconcilerOptions} from '../fleet-reconciler/index.js';
 import {FleetRegistry} from '../fleet-registry/index.js';
@@ -146,6 +147,7 @@
 	readonly #registry = new FleetRegistry();
 	readonly #reports: ReportService;
 	readonly #proposer: CommandProposer;
+	readonly #departures: DepartureService;
 	readonly #directory: MemberDirectory;
 	readonly #membership: MembershipService;
 	readonly #operatorListener: OperatorListener;
@@ -179,6 +181,9 @@
 		this.#proposer = new CommandProposer({
 			log, client, addresses: directory.addresses, clock,
 		});
+		this.#departures = new DepartureService({
+			log, proposer: this.#proposer, clock, confirmCurrent: async () => this.#reports.confirmCurrent(),
+		});
 		this.#membership = new MembershipService({
 			log, directory, client, clock,
 		});
@@ -260,6 +265,8 @@
 		this.#server.handle(teamCountsMethod, async () => ({teams: this.#registry.directTeamRequestCounts(this.#clock.now())}));
 		this.#server.handle(reportMethod, async report => this.#reports.answer(report));
 		this.#server.handle(claimMethod, async call => this.#claim(call));
+		this.#server.handle(recordDepartureMethod, async call => this.#departures.record(call));
+		this.#server.handle(findDeparturesMethod, async question => this.#departures.answer(question));
 		this.#rpcAddress = await this.#server.listen(options.rpcAddress);
 		this.#operatorUrl = await this.#operatorListener.listen(options.operatorAddress);
 		this.#directory.start(this.#rpcAddress);
@@ -278,7 +285,7 @@
 
 	async #claim(call: ClaimCall): Promise<ClaimCallResponse> {
 		const command = decodeCommand(call.command);
-		if (command.kind === 'change' || command.kind === 'replace') {
+		if (command.kind !== 'begin-claim' && command.kind !== 'finish-claim') {
 			throw new InvalidInputError('a gate may only begin and finish claims');
 		}
 
--- a/packages/control/src/report-service/index.ts
+++ b/packages/control/src/report-service/index.ts
@@ -75,6 +75,12 @@
 		this.#scheduleShare();
 	}
 
+	/** Confirms with a linearizable read that the state of this process is current. Calls that arrive before the read begins share it. */
+	async confirmCurrent(): Promise<boolean> {
+		this.#nextRead ??= this.#readAfter(this.#currentRead);
+		return this.#nextRead;
+	}
+
 	/** Records a report and answers it. The answer is not held if there is a newer revision than the reported one. */
 	async answer(message: NodeReport | BriefNodeReport): Promise<ReportResponse> {
 		const {registry, clock, domain} = this.#options;
@@ -84,7 +90,7 @@
 		}
 
 		await this.#waitForNewerRevision(report.revision, Math.min(message.waitMilliseconds, maximumWaitMilliseconds));
-		const confirmed = await this.#confirmCurrent();
+		const confirmed = await this.confirmCurrent();
 		const update = this.#updateAfter(report.revision);
 		const {allMemberAddresses} = this.#options;
 		return {
@@ -170,12 +176,6 @@
 		});
 	}
 
-	/** Confirms with a linearizable read that the configuration is current. Reports that arrive before the read begins share it. */
-	async #confirmCurrent(): Promise<boolean> {
-		this.#nextRead ??= this.#readAfter(this.#currentRead);
-		return this.#nextRead;
-	}
-
 	async #readAfter(previous: Promise<boolean> | undefined): Promise<boolean> {
 		await previous;
 		await this.#waitForReadInterval();
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -11,3 +11,4 @@
 export * from './identifiers/index.js';
 export * from './problem/index.js';
 export * from './random-source/index.js';
+export type * from './upstream-departure/index.js';
--- a/packages/node/src/_lib/announcement-filter/index.ts
+++ b/packages/node/src/_lib/announcement-filter/index.ts
@@ -3,6 +3,7 @@
 upstream at the same address.
 */
 
+import type {UpstreamDeparture} from '@fireflyglade/model';
 import type {AnnouncedUpstream} from '../../gate/index.js';
 
 /** What an upstream announces about itself, with what is needed to order its announcements. */
@@ -16,13 +17,13 @@
 	readonly isLeaving: boolean;
 };
 
-/** Whether an announcement was accepted (`taken`), is stale (`outdated`), or is from another upstream than the node's (`of-another-upstream`). */
-export type AnnouncementOutcome = 'taken' | 'outdated' | 'of-another-upstream';
+/** Whether an announcement was accepted (`taken`), waits until the departures are known (`deferred`), is stale (`outdated`), or is from another upstream than the node's (`of-another-upstream`). */
+export type AnnouncementOutcome = 'taken' | 'deferred' | 'outdated' | 'of-another-upstream';
 
 /** Tracks the newest announcement of the upstream beside a node. */
 export class AnnouncementFilter {
 	#newest: Pick<UpstreamAnnouncement, 'instance' | 'bornAt' | 'sequence'> | undefined;
-	/** Start times of the upstreams that have left, by instance; negative infinity if unknown. Later announcements of the same start are outdated. */
+	/** Start times of the upstreams that have left, by instance. Later announcements of the same start are outdated. */
 	readonly #departed = new Map<string, number>();
 
 	/** Accepts an announcement and records it as the newest, or rejects it as outdated. */
@@ -33,23 +34,36 @@
 			return 'outdated';
 		}
 
-		if (!isLeaving && (this.#departed.get(instance) ?? Number.NEGATIVE_INFINITY) >= bornAt) {
+		if (!isLeaving && this.hasLeft(announcement)) {
 			return 'outdated';
 		}
 
 		this.#newest = {instance, bornAt, sequence};
 		if (isLeaving) {
-			this.#departed.set(instance, bornAt);
+			this.#recordDeparture(instance, bornAt);
 		}
 
 		return 'taken';
 	}
 
-	/** Records that an upstream left. Returns true if it is the one with the newest announcement. */
-	leave(instance: string): boolean {
-		const isNewest = this.#newest?.instance === instance;
-		this.#departed.set(instance, isNewest ? this.#newest!.bornAt : Number.NEGATIVE_INFINITY);
-		return isNewest;
+	/** Records that an upstream left. Returns true if it is the one with the newest announcement, and not an earlier start of it. */
+	leave({instance, bornAt}: Pick<UpstreamDeparture, 'instance' | 'bornAt'>): boolean {
+		this.#recordDeparture(instance, bornAt);
+		return this.#newest?.instance === instance && this.#newest.bornAt <= bornAt;
+	}
+
+	/** True if this start of the instance, or a later one, has left. */
+	hasLeft({instance, bornAt}: Pick<UpstreamDeparture, 'instance' | 'bornAt'>): boolean {
+		return (this.#departed.get(instance) ?? Number.NEGATIVE_INFINITY) >= bornAt;
+	}
+
+	/** Start time of the upstream with the newest announcement; undefined if that is another instance. */
+	bornAtOf(instance: string): number | undefined {
+		return this.#newest?.instance === instance ? this.#newest.bornAt : undefined;
+	}
+
+	#recordDeparture(instance: string, bornAt: number): void {
+		this.#departed.set(instance, Math.max(bornAt, this.#departed.get(instance) ?? Number.NEGATIVE_INFINITY));
 	}
 
 	#isOutdated({instance, bornAt, sequence}: UpstreamAnnouncement, newest: Pick<UpstreamAnnouncement, 'instance' | 'bornAt' | 'sequence'>): boolean {
--- a/packages/node/src/_lib/announcement-filter/test.ts
+++ b/packages/node/src/_lib/announcement-filter/test.ts
@@ -43,8 +43,17 @@
 	it('reports whether the upstream that leaves is the newest', () => {
 		const filter = new AnnouncementFilter();
 		filter.accept(createAnnouncement());
-		expect(filter.leave('i-0')).to.equal(false);
-		expect(filter.leave('i-1')).to.equal(true);
+		expect(filter.leave({instance: 'i-0', bornAt: 1000})).to.equal(false);
+		expect(filter.leave({instance: 'i-1', bornAt: 1000})).to.equal(true);
 		expect(filter.accept(createAnnouncement({sequence: 2}))).to.equal('outdated');
 	});
+
+	// Guards against: a late leave notice of an earlier start keeps a restarted upstream out for good.
+	it('keeps an upstream that has restarted under its name when the notice of the earlier start is late', () => {
+		const filter = new AnnouncementFilter();
+		filter.accept(createAnnouncement({sequence: 9}));
+		filter.accept(createAnnouncement({bornAt: 5000}));
+		expect(filter.leave({instance: 'i-1', bornAt: 1000})).to.equal(false);
+		expect(filter.accept(createAnnouncement({bornAt: 5000, sequence: 2}))).to.equal('taken');
+	});
 });
--- a/packages/node/src/control-claims/index.ts
+++ b/packages/node/src/control-claims/index.ts
@@ -9,10 +9,10 @@
 	type ClaimOutcome, type ClaimRequest, type ClaimResult, type Command, type CommandResult,
 } from '@fireflyglade/state';
 import {
-	claimMethod, decodeMessage,
-	type ClaimCallResponse, type RpcClient,
+	claimMethod, decodeMessage, type RpcClient,
 } from '@fireflyglade/transport';
 import type {JobClaims} from '../dependencies.js';
+import {ControlCaller} from '../_lib/control-caller/index.js';
 
 /** Thrown when no quorum of the control processes accepted a claim. */
 export class ClaimError extends FireflygladeError {
@@ -38,13 +38,13 @@
 /** Claims jobs through the control processes. */
 export class ControlClaims implements JobClaims {
 	readonly #options: ControlClaimsOptions;
-	/** Index of the control process that is called next, modulo their number. It is kept after an answer. */
-	#preferredIndex = 0;
+	readonly #caller: ControlCaller;
 	/** Monotonic time in milliseconds until which new claims are refused without a call. */
 	#unavailableUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(options: ControlClaimsOptions) {
 		this.#options = options;
+		this.#caller = new ControlCaller({client: options.client, control: () => options.control, timeoutMilliseconds: callTimeoutMilliseconds});
 	}
 
 	/**
@@ -102,26 +102,12 @@
 
 	/** Submits a command to one control process after the other until one answers. Commands are idempotent, so a repeated submission is safe. */
 	async #submit(command: Command): Promise<CommandResult> {
-		const {control} = this.#options;
-		const encoded = encodeCommand(command);
-		for (const _address of control) {
-			const answer = await this.#call(control[this.#preferredIndex % control.length]!, encoded);
-			if (answer?.kind === 'result') {
-				return decodeMessage(answer.result) as CommandResult;
-			}
-
-			this.#preferredIndex += 1;
+		const answer = await this.#caller.call(claimMethod, {command: encodeCommand(command)}, ({kind}) => kind === 'result');
+		if (answer?.kind !== 'result') {
+			throw new ClaimError('no quorum of the control processes accepted the claim');
 		}
 
-		throw new ClaimError('no quorum of the control processes accepted the claim');
-	}
-
-	async #call(address: string, command: Uint8Array): Promise<ClaimCallResponse | undefined> {
-		try {
-			return await this.#options.client.call(claimMethod, address, {command}, {timeoutMilliseconds: callTimeoutMilliseconds});
-		} catch {
-			return undefined;
-		}
+		return decodeMessage(answer.result) as CommandResult;
 	}
 
 	async #waitBeforeRetry(): Promise<void> {
--- a/packages/node/src/control-claims/test.ts
+++ b/packages/node/src/control-claims/test.ts
@@ -6,6 +6,7 @@
 import {
 	encodeMessage, RpcError, type RpcClient, type RpcMethod,
 } from '@fireflyglade/transport';
+import {catchError} from '../test-support/catch-error.js';
 import {ClaimError, ControlClaims} from './index.js';
 
 const claim: ClaimRequest = {
@@ -35,16 +36,6 @@
 	return {client, calledAddresses, silent};
 }
 
-async function catchError(promise: Promise<unknown>): Promise<unknown> {
-	try {
-		await promise;
-	} catch (error: unknown) {
-		return error;
-	}
-
-	return undefined;
-}
-
 describe('ControlClaims', () => {
 	it('submits to the next control process if one does not answer, and keeps using it', async () => {
 		const {client, calledAddresses, silent} = createFakeControl();
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -25,7 +25,8 @@
 import {ChannelGates} from '../_lib/channel-gates/index.js';
 import {RemoteGates} from '../_lib/remote-gate/index.js';
 import {TeamCounters} from '../_lib/team-counters/index.js';
-import {AnnouncementFilter, type AnnouncementOutcome, type UpstreamAnnouncement} from '../_lib/announcement-filter/index.js';
+import type {AnnouncementOutcome, UpstreamAnnouncement} from '../_lib/announcement-filter/index.js';
+import {UpstreamPresence, type LeaveNotice} from '../_lib/upstream-presence/index.js';
 
 /** Bound addresses of a node's listeners, `host:port` each. */
 export type NodeAddresses = {
@@ -45,10 +46,10 @@
 	level(): GateLevel | undefined;
 	/** Answers another node's query about the outcome of a request; the caller serves it over RPC. */
 	answerOutcome(question: OutcomeRequest): OutcomeResponse;
-	/** Handles an announcement of an upstream that arrives by other means than the announce listener. */
-	handleAnnouncement(announcement: UpstreamAnnouncement): AnnouncementOutcome;
-	/** Removes an upstream instance, which takes no new requests from now on. */
-	removeUpstream(instance: string): void;
+	/** Handles an announcement of an upstream that arrives by other means than the announce listener. Rejects if a departure could not be recorded, so that it must not be acknowledged. */
+	handleAnnouncement(announcement: UpstreamAnnouncement): Promise<AnnouncementOutcome>;
+	/** Removes an upstream instance, which takes no new requests from now on. Rejects if the departure could not be recorded, so that it must not be acknowledged. */
+	removeUpstream(notice: LeaveNotice): Promise<void>;
 	/** True if the node can serve callers: a confirmed configuration is in force and the node is not shutting down. */
 	isReady(): boolean;
 	/** Number of requests in progress at the listeners for callers, egress and the gate. A request from a caller or the upstream counts once more if the own gate runs it. */
@@ -79,7 +80,7 @@
 	readonly #channelGates: ChannelGates | undefined;
 	readonly #channelListener: FrameListener | undefined;
 	#channelAddress: string | undefined;
-	readonly #announcementFilter = new AnnouncementFilter();
+	readonly #presence: UpstreamPresence;
 	readonly #counters = new TeamCounters();
 	readonly #callers: CallServer;
 	readonly #egress: CallServer;
@@ -137,6 +138,19 @@
 				this.#announceTarget();
 			},
 		}, dependencies.announcementTimeoutMilliseconds);
+		const {ownUpstreamAddress, departures, onLogEvent} = dependencies;
+		this.#presence = new UpstreamPresence({
+			clock,
+			...(ownUpstreamAddress === undefined ? {} : {address: ownUpstreamAddress}),
+			...(departures === undefined ? {} : {departures}),
+			...(onLogEvent === undefined ? {} : {onLogEvent}),
+			onPresent: announcement => {
+				this.#announcements.accept(announcement);
+			},
+			onLeft: () => {
+				this.#announcements.leave();
+			},
+		});
 		const gateHandler = new GateListenerHandler({gate: this.#gate, credentials, clock});
 		this.#listeners = {
 			callers: new HttpListener((request, response) => {
@@ -185,6 +199,7 @@
 			this.#applyFleetChanges();
 		});
 		this.#applyFleetChanges();
+		this.#presence.start();
 	}
 
 	level(): GateLevel | undefined {
@@ -195,30 +210,12 @@
 		return this.#gate.answer(question);
 	}
 
-	handleAnnouncement(announcement: UpstreamAnnouncement): AnnouncementOutcome {
-		const {ownUpstreamAddress} = this.#dependencies;
-		if (ownUpstreamAddress !== undefined && ownUpstreamAddress !== announcement.address) {
-			return 'of-another-upstream';
-		}
-
-		const outcome = this.#announcementFilter.accept(announcement);
-		if (outcome !== 'taken') {
-			return outcome;
-		}
-
-		if (announcement.isLeaving) {
-			this.#announcements.leave();
-		} else {
-			this.#announcements.accept(announcement);
-		}
-
-		return outcome;
+	async handleAnnouncement(announcement: UpstreamAnnouncement): Promise<AnnouncementOutcome> {
+		return this.#presence.announce(announcement);
 	}
 
-	removeUpstream(instance: string): void {
-		if (this.#announcementFilter.leave(instance)) {
-			this.#announcements.leave();
-		}
+	async removeUpstream(notice: LeaveNotice): Promise<void> {
+		await this.#presence.leave(notice);
 	}
 
 	isReady(): boolean {
@@ -308,6 +305,7 @@
 	async #close(): Promise<void> {
 		this.#removeChangeListener?.();
 		this.#announcements.close();
+		this.#presence.close();
 		this.#shutdownTimer?.cancel();
 		const {shutdownTimeoutMilliseconds} = this.#dependencies.settings;
 		const idleMilliseconds = Math.min(idleConnectionTimeoutMilliseconds, shutdownTimeoutMilliseconds / 4);
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -5,8 +5,9 @@
 
 import type {Admission, AdmissionOptions} from '@fireflyglade/admission';
 import type {
-	Clock, ProblemCode, ProblemOutcome, RandomSource, RequestId, RouteId, ServiceName, TeamName, UpstreamId,
+	Clock, ProblemCode, ProblemOutcome, RandomSource, RequestId, RouteId, ServiceName, TeamName, UpstreamDeparture, UpstreamId,
 } from '@fireflyglade/model';
+import type {Fields} from '@fireflyglade/observability';
 import type {RetryBudgets, Routing} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import type {ClaimOutcome, ClaimRequest, ClaimResult} from '@fireflyglade/state';
@@ -22,6 +23,14 @@
 	finish(claim: ClaimRequest, outcome: ClaimOutcome): Promise<void>;
 };
 
+/** The departures of upstreams in the replicated log, which outlive the process of the node. */
+export type DepartureLog = {
+	/** Records a departure. Rejects if no quorum was reached; the departure may be recorded all the same. */
+	record(departure: UpstreamDeparture): Promise<void>;
+	/** Finds the departures at an address. Rejects if no quorum was reached. */
+	find(address: string): Promise<readonly UpstreamDeparture[]>;
+};
+
 /** Queries the gate at an RPC address for the outcome of a request. */
 export type OutcomeClient = {
 	ask(rpcAddress: string, question: OutcomeRequest): Promise<OutcomeResponse>;
@@ -114,10 +123,14 @@
 	/** Milliseconds without an announcement after which the upstream is removed; 3 seconds if absent. */
 	readonly announcementTimeoutMilliseconds?: number;
 	readonly claims: JobClaims;
+	/** Keeps departures beyond a restart of the node; if absent, or without `ownUpstreamAddress`, they are kept in memory alone. */
+	readonly departures?: DepartureLog;
 	readonly outcomes: OutcomeClient;
 	readonly observer: NodeObserver;
 	/** Called for each response of the upstream that did not arrive completely, for logging. */
 	readonly onIncompleteResponse?: (lost: IncompleteResponse) => void;
+	/** Called with events for the log. */
+	readonly onLogEvent?: (event: string, details: Fields) => void;
 	/** Called for each message of another process that was malformed or could not be handled. */
 	readonly onMessageError?: (error: Error) => void;
 	readonly clock: Clock;
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -292,6 +292,11 @@
 		this.#figuresSource = source;
 	}
 
+	/** RPC addresses of control processes that are known at present. */
+	controlAddresses(): readonly string[] {
+		return this.#controlAddresses;
+	}
+
 	/** Applies changed settings for the addresses of control processes. Addresses in use are kept. */
 	setControlAddresses(addresses: readonly string[]): void {
 		this.#configuredControlAddresses = addresses;
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -21,6 +21,7 @@
 import {SuspensionAwareClock} from '../_lib/suspension-aware-clock/index.js';
 import type {FinishedRequest, IncompleteResponse, NodeObserver} from '../dependencies.js';
 import {ControlClaims} from '../control-claims/index.js';
+import {ControlDepartures} from '../control-departures/index.js';
 import {createNode, type NodeAddresses, type RunningNode} from '../create-node/index.js';
 import {FleetRuntime} from '../fleet-runtime/index.js';
 
@@ -128,12 +129,14 @@
 		...(options.ownUpstreamAddress === undefined ? {} : {ownUpstreamAddress: options.ownUpstreamAddress}),
 		...(options.announcementTimeoutMilliseconds === undefined ? {} : {announcementTimeoutMilliseconds: options.announcementTimeoutMilliseconds}),
 		claims: new ControlClaims({client, control: settings.control, clock}),
+		departures: new ControlDepartures({client, control: () => fleet.controlAddresses()}),
 		outcomes: {
 			ask: async (address, question) => client.call(outcomeMethod, address, question, {timeoutMilliseconds: outcomeTimeoutMilliseconds}),
 		},
 		observer: options.onRequestFinished === undefined ? observer : withRequestListener(observer, options.onRequestFinished),
 		...(options.onIncompleteResponse === undefined ? {} : {onIncompleteResponse: options.onIncompleteResponse}),
 		onMessageError,
+		...(options.onLogEvent === undefined ? {} : {onLogEvent: options.onLogEvent}),
 		clock,
 		random: new SeededRandom(randomSeed),
 	});
--- a/packages/scenario/src/scenario-files/test.ts
+++ b/packages/scenario/src/scenario-files/test.ts
@@ -43,6 +43,7 @@
 		configuration: () => machine.configuration(),
 		changesAfter: revision => machine.changesAfter(revision),
 		resultOf: commandId => machine.resultOf(commandId),
+		departuresAt: address => machine.departuresAt(address),
 		document: () => machine.document(),
 		save: () => machine.save(),
 	};
--- a/packages/state/src/configuration-state-machine/index.ts
+++ b/packages/state/src/configuration-state-machine/index.ts
@@ -1,7 +1,7 @@
 /**
 The state that all members of the replicated log derive from the same commands: the
 configuration, its most recent changes, the results of the most recent commands,
-and the job claims.
+the job claims, and the departures of upstreams.
 
 The state machine reads no clock. Its elapsed time advances with the timestamps of
 the commands, by at most one minute per command and never backwards, so that a
@@ -10,11 +10,12 @@
 
 import {
 	UnreachableError, emptyConfiguration, initialLabel,
-	type AcceptedChange, type CallerBounds, type CommandId, type Configuration, type ConfigurationLabel, type Revision,
+	type AcceptedChange, type CallerBounds, type CommandId, type Configuration, type ConfigurationLabel, type Revision, type UpstreamDeparture,
 } from '@fireflyglade/model';
 import {ClaimTable, type ClaimLimits, type ClaimRecord} from '../_lib/claim-table.js';
 import {CommandResults, digestChange, type RetainedResult} from '../_lib/command-results.js';
 import {decodeValue, encodeValue} from '../_lib/codec.js';
+import {DepartureTable, type DepartureLimits, type DepartureRecord} from '../_lib/departure-table.js';
 import {EncodingCache} from '../_lib/encoding-cache.js';
 import {WorkingConfiguration} from '../_lib/working-configuration.js';
 import {StateFormatError} from '../errors/index.js';
@@ -23,7 +24,7 @@
 } from '../types.js';
 
 /** Limits of a state machine. They must be the same on every member of the log. */
-export type StateMachineOptions = ClaimLimits & {
+export type StateMachineOptions = ClaimLimits & DepartureLimits & {
 	/** Accepted changes retained for nodes that lag behind. Up to twice as many are held before the list is trimmed to this number. */
 	readonly maximumRetainedChanges: number;
 	/** Results retained for resends of operators' commands; also the number of replacements retained for their resends. */
@@ -48,6 +49,8 @@
 	outcomeTimeoutMilliseconds: 3_600_000,
 	maximumTotalResponseBytes: 67_108_864,
 	maximumResponseBytes: 65_536,
+	maximumDepartures: 20_000,
+	departureRetentionMilliseconds: 3_600_000,
 };
 
 type ChangeCommand = Extract<Command, {kind: 'change'}>;
@@ -76,6 +79,8 @@
 	readonly lastAt: number | undefined;
 	readonly document?: Uint8Array;
 	readonly replacements?: readonly AcceptedReplacement[];
+	/** Absent in states that were saved by versions without `record-departure` commands. */
+	readonly departures?: readonly DepartureRecord[];
 };
 
 /**
@@ -110,6 +115,7 @@
 	#changes: AcceptedChange[] = [];
 	#results: CommandResults;
 	#claims: ClaimTable;
+	#departures: DepartureTable;
 	readonly #changeEncodings = new EncodingCache<AcceptedChange>();
 	readonly #resultEncodings = new EncodingCache<RetainedResult>();
 	readonly #claimEncodings = new EncodingCache<ClaimRecord>();
@@ -123,6 +129,7 @@
 		this.#options = {...defaultStateMachineOptions, ...options};
 		this.#results = new CommandResults(this.#options.maximumRetainedResults);
 		this.#claims = new ClaimTable(this.#options);
+		this.#departures = new DepartureTable(this.#options);
 	}
 
 	apply(command: Command): CommandResult {
@@ -145,6 +152,11 @@
 				return {kind: 'claim-finished'};
 			}
 
+			case 'record-departure': {
+				this.#departures.record(command.departure, this.#elapsedMilliseconds);
+				return {kind: 'departure-recorded'};
+			}
+
 			default: {
 				throw new UnreachableError(command);
 			}
@@ -173,6 +185,10 @@
 		return this.#results.get(commandId)?.result;
 	}
 
+	departuresAt(address: string): readonly UpstreamDeparture[] {
+		return this.#departures.at(address);
+	}
+
 	document(): Uint8Array | undefined {
 		return this.#document;
 	}
@@ -204,6 +220,7 @@
 			lastAt: this.#lastAt,
 			...(this.#document === undefined ? {} : {document: this.#document}),
 			replacements: [...this.#replacements.values()],
+			departures: this.#departures.records(),
 		});
 	}
 
@@ -222,6 +239,7 @@
 		this.#changes = [...this.#changeEncodings.decodeAll(saved.changes)];
 		this.#results = new CommandResults(this.#options.maximumRetainedResults, this.#resultEncodings.decodeAll(saved.results));
 		this.#claims = new ClaimTable(this.#options, this.#claimEncodings.decodeAll(saved.claims));
+		this.#departures = new DepartureTable(this.#options, saved.departures);
 		this.#elapsedMilliseconds = saved.elapsedMilliseconds;
 		this.#lastAt = saved.lastAt;
 		this.#document = saved.document;
--- a/packages/state/src/configuration-state-machine/test.ts
+++ b/packages/state/src/configuration-state-machine/test.ts
@@ -50,6 +50,25 @@
 }
 
 describe('ConfigurationStateMachine', () => {
+	// Guards against: a restarted node uses an upstream that has left.
+	it('keeps the latest departure of each instance at an address, also after a restore from a snapshot', () => {
+		const machine = new ConfigurationStateMachine({departureRetentionMilliseconds: 5000});
+		const record = (instance: string, bornAt: number, at: number, address = '10.0.0.1:80'): void => {
+			machine.apply({kind: 'record-departure', departure: {address, instance, bornAt}, at});
+		};
+
+		record('i-1', 100, 0);
+		record('i-2', 300, 1000);
+		record('i-2', 200, 2000);
+		record('i-3', 400, 2000, '10.0.0.2:80');
+		const restored = ConfigurationStateMachine.restore(machine.save(), {departureRetentionMilliseconds: 5000});
+		const address = '10.0.0.1:80';
+		expect(restored.departuresAt(address)).to.deep.equal([{address, instance: 'i-1', bornAt: 100}, {address, instance: 'i-2', bornAt: 300}]);
+		restored.apply({kind: 'record-departure', departure: {address: '10.0.0.2:80', instance: 'i-4', bornAt: 500}, at: 6500});
+		expect(restored.departuresAt(address)).to.deep.equal([]);
+		expect(restored.departuresAt('10.0.0.2:80')).to.have.length(2);
+	});
+
 	it('returns the first result for a resend, also after a restore from a snapshot', () => {
 		const machine = new ConfigurationStateMachine();
 		const first = machine.apply(change('c1', createTeam('north')));
--- a/packages/state/src/decode-command/index.ts
+++ b/packages/state/src/decode-command/index.ts
@@ -6,7 +6,7 @@
 import {StateFormatError} from '../errors/index.js';
 import type {Command} from '../types.js';
 
-const commandKinds: ReadonlySet<unknown> = new Set<Command['kind']>(['change', 'replace', 'begin-claim', 'finish-claim']);
+const commandKinds: ReadonlySet<unknown> = new Set<Command['kind']>(['change', 'replace', 'begin-claim', 'finish-claim', 'record-departure']);
 
 /**
 Decodes a command.
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -4,7 +4,7 @@
 */
 
 import type {
-	AcceptedChange, CommandId, Configuration, ConfigurationChange, ConfigurationLabel, ConfigurationReplacement, JobKey, NodeId, RequestId, Revision, TeamName,
+	AcceptedChange, CommandId, Configuration, ConfigurationChange, ConfigurationLabel, ConfigurationReplacement, JobKey, NodeId, RequestId, Revision, TeamName, UpstreamDeparture,
 } from '@fireflyglade/model';
 
 /** A command in the replicated log. */
@@ -52,6 +52,13 @@
 		readonly outcome: ClaimOutcome;
 		/** Wall-clock milliseconds of the leader. */
 		readonly at: number;
+	}
+	/** Records that an upstream takes no new work, before this is acknowledged to it. */
+	| {
+		readonly kind: 'record-departure';
+		readonly departure: UpstreamDeparture;
+		/** Wall-clock milliseconds of the leader. */
+		readonly at: number;
 	};
 
 /**
@@ -121,7 +128,8 @@
 	| {readonly kind: 'changed'; readonly revision: Revision}
 	| {readonly kind: 'refused'; readonly refusal: ChangeRefusal}
 	| {readonly kind: 'claim'; readonly result: ClaimResult}
-	| {readonly kind: 'claim-finished'};
+	| {readonly kind: 'claim-finished'}
+	| {readonly kind: 'departure-recorded'};
 
 /** An accepted replacement of the whole configuration. */
 export type AcceptedReplacement = {
@@ -138,6 +146,8 @@
 	changesAfter(revision: Revision): readonly AcceptedChange[] | undefined;
 	/** The result of the first execution of a command; undefined if it is unknown or no longer retained. */
 	resultOf(commandId: CommandId): CommandResult | undefined;
+	/** The retained departures of upstreams at an address. */
+	departuresAt(address: string): readonly UpstreamDeparture[];
 	/** The text of the last accepted replacement of the whole configuration. */
 	document(): Uint8Array | undefined;
 	/** Serializes the state for a snapshot. */
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -5,7 +5,7 @@
 */
 
 import type {
-	ConfigurationUpdate, FailureDomain, GateLevel, NodeId, RequestId, Revision, Target, TeamName,
+	ConfigurationUpdate, FailureDomain, GateLevel, NodeId, RequestId, Revision, Target, TeamName, UpstreamDeparture,
 } from '@fireflyglade/model';
 
 /** A method of a service, with the types of its request and response. */
@@ -134,3 +134,32 @@
 
 /** Sends the claim of a gate; any control process accepts it and forwards it to the leader. */
 export const claimMethod: RpcMethod<ClaimCall, ClaimCallResponse> = {service: 'control', name: 'claim'};
+
+/** The departure of the upstream beside a node. */
+export type DepartureCall = {
+	readonly departure: UpstreamDeparture;
+};
+
+/** The result of recording a departure. */
+export type DepartureCallResponse =
+	/** The departure is committed to the replicated log. */
+	| {readonly kind: 'recorded'}
+	/** No quorum accepted the departure in time; it may still be recorded. */
+	| {readonly kind: 'no-quorum'};
+
+/** Records the departure of an upstream; any control process accepts it and forwards it to the leader. */
+export const recordDepartureMethod: RpcMethod<DepartureCall, DepartureCallResponse> = {service: 'control', name: 'record-departure'};
+
+/** Asks for the departures of upstreams at an address. */
+export type DepartureQuestion = {
+	readonly address: string;
+};
+
+/** The departures of upstreams at an address. */
+export type DepartureAnswer =
+	| {readonly kind: 'known'; readonly departures: readonly UpstreamDeparture[]}
+	/** No quorum confirmed that the control process knows all departures. */
+	| {readonly kind: 'no-quorum'};
+
+/** Looks up the departures at an address. */
+export const findDeparturesMethod: RpcMethod<DepartureQuestion, DepartureAnswer> = {service: 'control', name: 'find-departures'};
