Limit the lines of a response outside of its body

What callers saw: an upstream that sends short header or trailer fields without end made the node beside it stand still and end itself; all its requests were lost (report of other operators). Cause: the limits counted bytes (256 KiB outside bodies, 64 KiB of names and values), while the parser keeps two objects a field: 32,768 fields a connection, parsed in reads of 64 KiB. Change: 1,000 lines outside bodies, pieces of 16 KiB for the parser, a counter by cause.

--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -134,7 +134,10 @@
 			ask: async (address, question) => client.call(outcomeMethod, address, question, {timeoutMilliseconds: outcomeTimeoutMilliseconds}),
 		},
 		observer: options.onRequestFinished === undefined ? observer : withRequestListener(observer, options.onRequestFinished),
-		...(options.onIncompleteResponse === undefined ? {} : {onIncompleteResponse: options.onIncompleteResponse}),
+		onIncompleteResponse(lost) {
+			observer.responseIncomplete((lost.cause as NodeJS.ErrnoException).code ?? lost.cause.name);
+			options.onIncompleteResponse?.(lost);
+		},
 		onMessageError,
 		...(options.onLogEvent === undefined ? {} : {onLogEvent: options.onLogEvent}),
 		clock,
--- a/packages/observability/src/process-observer/index.ts
+++ b/packages/observability/src/process-observer/index.ts
@@ -67,6 +67,11 @@
 		this.#metrics.recordRequest(request, this.#options.clock.now());
 	}
 
+	/** Counts a response of the upstream that did not arrive completely; `cause` is a short code. */
+	responseIncomplete(cause: string): void {
+		this.#metrics.recordIncompleteResponse(cause);
+	}
+
 	/** Records a hop, and its span if it is sampled. */
 	hopFinished(hop: HopRecord): void {
 		this.#metrics.recordHop(hop.hop, hop.end - hop.start);
--- a/packages/observability/src/process-observer/test.ts
+++ b/packages/observability/src/process-observer/test.ts
@@ -37,7 +37,9 @@
 		observer.requestFinished({
 			...whole, status: 502, problem: 'outcome-unknown', outcome: 'unknown',
 		});
+		observer.responseIncomplete('endless-answer');
 		const text = await observer.renderMetrics();
+		expect(text).to.include('fireflyglade_incomplete_responses_total{cause="endless-answer"} 1');
 		expect(text).contains('fireflyglade_requests_offered_total{team="brook"} 6');
 		expect(text).contains('fireflyglade_requests_succeeded_total{team="brook"} 2');
 		expect(text).contains('fireflyglade_requests_refused_total{team="brook",reason="rate-exceeded"} 1');
--- a/packages/observability/src/request-metrics/index.ts
+++ b/packages/observability/src/request-metrics/index.ts
@@ -76,6 +76,8 @@
 	readonly #teams = new Map<string, TeamCounts>();
 	readonly #latencies = new Map<string, LatencyHistogram>(results.map(result => [result, new LatencyHistogram()]));
 	readonly #hops = new Map<string, LatencyHistogram>();
+	/** Responses that did not arrive completely, by the code of the cause. */
+	readonly #incompleteResponses = new Map<string, number>();
 	#windowStart: number;
 
 	constructor(now: number) {
@@ -113,6 +115,11 @@
 		histogram.record(milliseconds);
 	}
 
+	/** Counts a response of the upstream that did not arrive completely. */
+	recordIncompleteResponse(cause: string): void {
+		this.#incompleteResponses.set(cause, (this.#incompleteResponses.get(cause) ?? 0) + 1);
+	}
+
 	/** Fairness index of the teams over the last 30 to 60 seconds, from 0 to 1. */
 	fairness(now: number): number {
 		this.#rotateWindow(now);
@@ -135,6 +142,7 @@
 			this.#createCounterFamily('failed', 'Requests that ran, or may have run, and failed.', counts => counts.failed),
 			this.#createCounterFamily('retries', 'Attempts after the first.', counts => counts.retries),
 			this.#createRefusalFamily(),
+			this.#createIncompleteResponseFamily(),
 			{
 				name: 'fireflyglade_fairness_index',
 				help: 'Fairness between teams over the last half to whole minute; 1 is best.',
@@ -182,6 +190,21 @@
 		};
 	}
 
+	#createIncompleteResponseFamily(): MetricFamily {
+		const samples: MetricSample[] = [];
+		for (const [cause, value] of this.#incompleteResponses) {
+			samples.push({labels: {cause}, value});
+		}
+
+		return {
+			name: 'fireflyglade_incomplete_responses_total',
+			help: 'Responses of the upstream that did not arrive completely, by cause.',
+			kind: 'counter',
+			labelNames: ['cause'],
+			samples,
+		};
+	}
+
 	#createRefusalFamily(): MetricFamily {
 		const samples: MetricSample[] = [];
 		for (const [team, {refusals}] of this.#teams) {
--- a/packages/transport/src/_lib/connection-byte-limit/index.ts
+++ b/packages/transport/src/_lib/connection-byte-limit/index.ts
@@ -1,16 +1,22 @@
 /**
-Limits the bytes received on a connection that are not part of a response's body.
+Limits what is received on a connection that is not part of a response's body.
 
 An HTTP parser discards some of its input: reason phrases, interim responses, chunk
 extensions, empty lines. Without a limit, an upstream can send such bytes forever.
 Each response may contain a fixed number of them and a number in proportion to its
 body; a connection that exceeds the limit is closed.
+
+Bytes alone are not enough: the parser keeps two objects for each header or trailer
+field, so that short fields take many times their length in memory. Lines outside
+bodies are limited too, and the parser is given a small piece at a time, so that the
+limit is checked before much is parsed.
 */
 
+import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {bytesInKibibyte, FireflygladeError} from '@fireflyglade/model';
 
-/** A connection exceeded the limit of bytes that belong to no response's body. */
+/** A connection exceeded the limit of bytes or lines that belong to no response's body. */
 export class EndlessAnswerError extends FireflygladeError {
 	get code(): 'endless-answer' {
 		return 'endless-answer';
@@ -22,23 +28,51 @@
 /** Bytes of framing that are allowed for each byte of a body. */
 const framingBytesPerBodyByte = 16;
 
-/** Enforces the limit on one connection. */
+/** Lines outside the body that one response may have between two pieces of its body. */
+export const maximumNonBodyLines = 1000;
+/** Longest piece that the parser is given at once. */
+const maximumPieceBytes = 16 * bytesInKibibyte;
+const lineFeed = 10;
+
+/** Enforces the limits on one connection. */
 export class ConnectionByteLimit {
 	readonly #socket: Socket;
 	/** The connection is closed if the socket's `bytesRead` exceeds this value. */
 	#maximumBytesRead = maximumNonBodyBytes;
+	/** The last piece, as long as no byte of a body and no end of a response was found in it. */
+	#unclassifiedPiece: Buffer | undefined;
+	#nonBodyLines = 0;
 
 	constructor(socket: Socket) {
 		this.#socket = socket;
 	}
 
+	/**
+	Reads the next piece for the parser, with the socket's own `read`.
+
+	@returns The piece; `null` if there is none at present, or if the connection has exceeded the limit of lines and was closed.
+	*/
+	read(read: (size?: number) => Buffer | null): Buffer | null {
+		this.#countLines();
+		if (this.#socket.destroyed) {
+			return null;
+		}
+
+		const {readableLength} = this.#socket;
+		const piece = readableLength > maximumPieceBytes ? read(maximumPieceBytes) : read();
+		this.#unclassifiedPiece = piece ?? undefined;
+		return piece;
+	}
+
 	/** Raises the limit for bytes of a body that were delivered. */
 	recordBodyBytes(bytes: number): void {
+		this.#resetLines();
 		this.#maximumBytesRead += bytes * (1 + framingBytesPerBodyByte);
 	}
 
 	/** Resets the limit at the end of a response; later bytes belong to the next one. */
 	recordResponseEnd(): void {
+		this.#resetLines();
 		this.#maximumBytesRead = this.#socket.bytesRead + maximumNonBodyBytes;
 	}
 
@@ -48,4 +82,26 @@
 			this.#socket.destroy(new EndlessAnswerError(`the connection exceeded the limit of ${maximumNonBodyBytes} bytes that belong to no response body`));
 		}
 	}
+
+	#resetLines(): void {
+		this.#unclassifiedPiece = undefined;
+		this.#nonBodyLines = 0;
+	}
+
+	/** Counts the lines of the last piece if it was parsed without a byte of a body, and closes the connection if there are too many. */
+	#countLines(): void {
+		const piece = this.#unclassifiedPiece;
+		this.#unclassifiedPiece = undefined;
+		if (piece === undefined) {
+			return;
+		}
+
+		for (let index = piece.indexOf(lineFeed); index !== -1; index = piece.indexOf(lineFeed, index + 1)) {
+			this.#nonBodyLines += 1;
+		}
+
+		if (this.#nonBodyLines > maximumNonBodyLines && !this.#socket.destroyed) {
+			this.#socket.destroy(new EndlessAnswerError(`the connection exceeded the limit of ${maximumNonBodyLines} lines that belong to no response body`));
+		}
+	}
 }
--- a/packages/transport/src/_lib/connection-byte-limit/test.ts
+++ b/packages/transport/src/_lib/connection-byte-limit/test.ts
@@ -137,6 +137,28 @@
 		});
 	}
 
+	// Guards against: many short fields, which take many times their length in memory, exhaust the memory of a node.
+	for (const [name, createResponse] of Object.entries({
+		'header fields': (count: number) => `HTTP/1.1 200 OK\r\n${'a: b\r\n'.repeat(count)}content-length: 1\r\n\r\nx`,
+		trailers: (count: number) => `${chunkedHead}1\r\nx\r\n0\r\n${'a: b\r\n'.repeat(count)}\r\n`,
+		'interim responses': (count: number) => `${'HTTP/1.1 102 Processing\r\n\r\n'.repeat(count / 2)}HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx`,
+	})) {
+		it(`closes a connection with thousands of lines of ${name}, and accepts hundreds`, async () => {
+			upstream.answer = socket => {
+				socket.write(createResponse(900));
+			};
+
+			expect(await exchange()).to.deep.equal({status: 200, body: 'x'});
+			upstream.answer = socket => {
+				socket.write(createResponse(8000));
+			};
+
+			const {cause} = await exchange();
+			expect(cause).to.be.instanceOf(EndlessAnswerError);
+			await expectNextServed();
+		});
+	}
+
 	it('reports EndlessAnswerError as the cause', async () => {
 		upstream.answer = socket => {
 			writeEndlessly(socket, {start: 'HTTP/1.1 200 ', piece: longText});
--- a/packages/transport/src/_lib/sending-connection.ts
+++ b/packages/transport/src/_lib/sending-connection.ts
@@ -1,7 +1,7 @@
 /**
 A layer between the socket and the HTTP client library (undici). It pauses reading,
-tells a regular end of the connection from a reset, and limits the bytes received
-that belong to no response's body.
+tells a regular end of the connection from a reset, and limits the bytes and
+lines received that belong to no response's body.
 
 The library's own pause is not used: if a connection ends or breaks while the
 library has paused it, an assertion inside the library fails in a socket event
@@ -86,8 +86,8 @@
 		this.#byteLimit = byteLimit;
 		this.#isPaused = false;
 		this.#isBroken = false;
-		const read = socket.read.bind(socket);
-		socket.read = size => this.#isPaused ? null : read(size) as unknown;
+		const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
+		socket.read = () => this.#isPaused ? null : byteLimit.read(read);
 		socket.on('readable', () => {
 			byteLimit.enforce();
 		});
