Answer all requests of a connection before a planned stop closes it

Cause: each response was marked as its connection's last when its request came in, and Node.js closes the connection after the first response with that mark. Change: the mark moves to the later response while the earlier head isn't out; afterwards a later request is not handed on. Responses that wait behind others get their 'close' event when the caller leaves (they went on, and counted as running for good).

--- a/packages/transport/src/_lib/connection-byte-limit/index.ts
+++ b/packages/transport/src/_lib/connection-byte-limit/index.ts
@@ -12,7 +12,6 @@
 limit is checked before much is parsed.
 */
 
-import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {bytesInKibibyte, FireflygladeError} from '@fireflyglade/model';
 
@@ -40,7 +39,7 @@
 	/** The connection is closed if the socket's `bytesRead` exceeds this value. */
 	#maximumBytesRead = maximumNonBodyBytes;
 	/** The last piece, as long as no byte of a body and no end of a response was found in it. */
-	#unclassifiedPiece: Buffer | undefined;
+	#unclassifiedPiece: Uint8Array | undefined;
 	#nonBodyLines = 0;
 
 	constructor(socket: Socket) {
@@ -50,17 +49,17 @@
 	/**
 	Reads the next piece for the parser, with the socket's own `read`.
 
-	@returns The piece; `null` if there is none at present, or if the connection has exceeded the limit of lines and was closed.
+	@returns The piece; `null`, as `read` does, if there is none at present, or if the connection has exceeded the limit of lines and was closed.
 	*/
-	read(read: (size?: number) => Buffer | null): Buffer | null {
+	read(read: Socket['read']): unknown {
 		this.#countLines();
 		if (this.#socket.destroyed) {
 			return null;
 		}
 
 		const {readableLength} = this.#socket;
-		const piece = readableLength > maximumPieceBytes ? read(maximumPieceBytes) : read();
-		this.#unclassifiedPiece = piece ?? undefined;
+		const piece: unknown = readableLength > maximumPieceBytes ? read(maximumPieceBytes) : read();
+		this.#unclassifiedPiece = piece instanceof Uint8Array ? piece : undefined;
 		return piece;
 	}
 
--- a/packages/transport/src/_lib/sending-connection.ts
+++ b/packages/transport/src/_lib/sending-connection.ts
@@ -86,7 +86,7 @@
 		this.#byteLimit = byteLimit;
 		this.#isPaused = false;
 		this.#isBroken = false;
-		const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
+		const read = socket.read.bind(socket);
 		socket.read = () => this.#isPaused ? null : byteLimit.read(read);
 		socket.on('readable', () => {
 			byteLimit.enforce();
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
 import {Server as TcpServer, type Socket} from 'node:net';
+import process from 'node:process';
 import {
 	formatProblem, httpStatusByProblemCode, type Problem, type ProblemCode,
 } from '@fireflyglade/model';
@@ -42,6 +43,8 @@
 	readonly #sockets = new Set<Socket>();
 	/** Responses in progress on each connection; more than one if the caller uses pipelining. */
 	readonly #runningResponses = new WeakMap<Socket, Set<ServerResponse>>();
+	/** Responses that close their connection only because the listener closes. */
+	readonly #lastResponses = new WeakSet<ServerResponse>();
 	readonly #options: HttpListenerOptions;
 	#isClosing = false;
 	#runningExchanges = 0;
@@ -84,7 +87,7 @@
 		return listenOn(this.#server, address);
 	}
 
-	/** Makes each later response close its connection, so that callers move to other nodes. */
+	/** Makes each later response close its connection, so that callers move to other nodes. Requests that were sent behind one another are answered first. */
 	disableKeepAlive(): void {
 		this.#isClosing = true;
 	}
@@ -121,10 +124,15 @@
 	}
 
 	#handle(request: IncomingMessage, response: ServerResponse, handler: RequestListener): void {
-		this.#runningExchanges += 1;
 		const {socket} = request;
-		const responses = this.#runningResponses.get(socket) ?? new Set();
-		this.#runningResponses.set(socket, responses.add(response));
+		const responses = this.#runningResponses.get(socket) ?? this.#trackResponses(socket);
+		if (!this.#keepOpenAfter(responses)) {
+			// The close of the connection was announced before this request, so that the caller knows it as not read.
+			return;
+		}
+
+		this.#runningExchanges += 1;
+		responses.add(response);
 		response.once('close', () => {
 			this.#runningExchanges -= 1;
 			responses.delete(response);
@@ -132,6 +140,7 @@
 		});
 		if (this.#isClosing) {
 			response.shouldKeepAlive = false;
+			this.#lastResponses.add(response);
 		}
 
 		try {
@@ -141,6 +150,38 @@
 		}
 	}
 
+	/** Creates the set of the responses in progress on a connection. Those that wait behind others when it closes get their 'close' event here, as the HTTP server emits none for them. */
+	#trackResponses(socket: Socket): Set<ServerResponse> {
+		const responses = new Set<ServerResponse>();
+		this.#runningResponses.set(socket, responses);
+		socket.once('close', () => {
+			process.nextTick(() => {
+				for (const response of responses) {
+					response.destroy();
+					response.emit('close');
+				}
+			});
+		});
+		return responses;
+	}
+
+	/** Keeps a connection open after the responses that would close it for the listener's sake, since another one follows. Returns false if one of them closes it all the same. */
+	#keepOpenAfter(responses: ReadonlySet<ServerResponse>): boolean {
+		for (const response of responses) {
+			if (response.shouldKeepAlive) {
+				continue;
+			}
+
+			if (response.headersSent || !this.#lastResponses.has(response)) {
+				return false;
+			}
+
+			response.shouldKeepAlive = true;
+		}
+
+		return true;
+	}
+
 	/** Limits the time for the rest of a request that was answered before its end. The rest is read so that the connection can be reused. */
 	#limitRemainingBody(request: IncomingMessage, socket: Socket): void {
 		if (request.complete || socket.destroyed) {
--- a/packages/transport/src/http-listener/test.ts
+++ b/packages/transport/src/http-listener/test.ts
@@ -21,6 +21,14 @@
 	return answer;
 }
 
+async function waitUntil(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, 2);
+		});
+	}
+}
+
 /** Returns everything that is received until the connection has closed. */
 async function readToEnd(socket: Socket): Promise<string> {
 	let received = '';
@@ -78,6 +86,69 @@
 		await ended;
 	});
 
+	const createRequest = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`;
+
+	// Guards against: a planned stop cuts requests that were sent behind others and handed on.
+	it('answers all requests sent behind one another during the shutdown, and closes after the last', async () => {
+		const waiting: ServerResponse[] = [];
+		const listener = new HttpListener((_request, response) => {
+			waiting.push(response);
+		}, limits);
+		const socket = await open(await listener.listen('127.0.0.1:0'));
+		const received = readToEnd(socket);
+		listener.disableKeepAlive();
+		socket.write(createRequest('/1') + createRequest('/2') + createRequest('/3'));
+		await waitUntil(() => waiting.length === 3);
+		for (const [index, response] of waiting.entries()) {
+			response.end(`answer ${index + 1}`);
+		}
+
+		const text = await received;
+		const answers = text.split('HTTP/1.1 200 OK').slice(1);
+		expect(answers.map(answer => answer.includes('Connection: close'))).to.deep.equal([false, false, true]);
+		expect(answers.map(answer => answer.slice(-8))).to.deep.equal(['answer 1', 'answer 2', 'answer 3']);
+		await listener.close(0);
+	});
+
+	it('does not hand on a request that arrives after the close of its connection was announced', async () => {
+		const paths: string[] = [];
+		const listener = new HttpListener((request, response) => {
+			paths.push(request.url!);
+			response.writeHead(200, {'content-length': 2}).flushHeaders();
+			socket.once('data', () => {
+				socket.write(createRequest('/late'));
+				setTimeout(() => {
+					response.end('ok');
+				}, 50);
+			});
+		}, limits);
+		const socket = await open(await listener.listen('127.0.0.1:0'));
+		listener.disableKeepAlive();
+		socket.write(createRequest('/first'));
+		expect(await readToEnd(socket)).to.contain('Connection: close').and.to.match(/ok$/u);
+		expect(paths).to.deep.equal(['/first']);
+		await listener.close(0);
+	});
+
+	// Guards against: requests that wait behind others go on after their caller has left.
+	it('closes the responses that wait behind others when the caller leaves', async () => {
+		let closed = 0;
+		const waiting: ServerResponse[] = [];
+		const listener = new HttpListener((_request, response) => {
+			waiting.push(response);
+			response.once('close', () => {
+				closed++;
+			});
+		}, limits);
+		const socket = await open(await listener.listen('127.0.0.1:0'));
+		socket.write(createRequest('/1') + createRequest('/2'));
+		await waitUntil(() => waiting.length === 2);
+		socket.destroy();
+		await waitUntil(() => closed === 2);
+		await waitUntil(() => listener.running === 0);
+		await listener.close(0);
+	});
+
 	describe('with a caller that sends endlessly', () => {
 		const head = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
 
