Check every field of an entry before it becomes an upstream

Cause: fields that weren't used weren't checked, numbers had no upper bound, and a start in the future outdated every real one.

--- a/packages/membership/src/gossip-state/index.ts
+++ b/packages/membership/src/gossip-state/index.ts
@@ -11,6 +11,7 @@
 import type {
 	Body, DomainDigest, Envelope, LeaseNotice, MemberDescription, MemberRecord, GossipUpdate,
 } from '../_lib/messages.js';
+import {isUsableTarget} from '../_lib/usable-target/index.js';
 import {minimumPulseIntervalMilliseconds, pulseIntervalMillisecondsPerMember} from '../_lib/constants.js';
 import {ConnectivityEvidence} from '../connectivity-evidence/index.js';
 import {LeaseTable} from '../lease-table/index.js';
@@ -247,7 +248,7 @@
 	#mergeUpdate(update: GossipUpdate, now: number): void {
 		switch (update.kind) {
 			case 'member': {
-				this.#mergeReceivedMember(update.record, now);
+				this.#mergeUsableMember(update.record, now);
 				return;
 			}
 
@@ -275,6 +276,17 @@
 		}
 	}
 
+	/** Merges a received record, unless its target is one that no node could use. */
+	#mergeUsableMember(record: MemberRecord, now: number): void {
+		const {node, target} = record.description;
+		if (target !== undefined && !isUsableTarget(target)) {
+			this.#events.push({kind: 'target-rejected', node});
+			return;
+		}
+
+		this.#mergeReceivedMember(record, now);
+	}
+
 	/** Merges a received record. A record of this node that supersedes its own, such as a suspicion, is refuted by a newer version. */
 	#mergeReceivedMember(record: MemberRecord, now: number): void {
 		if (record.description.node !== this.node) {
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -56,6 +56,8 @@
 	| {readonly kind: 'keys-withdrawn'; readonly keys: readonly KeyId[]}
 	| {readonly kind: 'holders-changed'}
 	| {readonly kind: 'own-lease-changed'}
+	/** A peer has spread an entry of a target that no node could use; it was left out. */
+	| {readonly kind: 'target-rejected'; readonly node: NodeId}
 	/** A peer has a newer configuration, which can be fetched from its address. */
 	| {readonly kind: 'newer-revision'; readonly revision: Revision; readonly rpcAddress: string};
 
--- a/packages/model/src/clock/index.ts
+++ b/packages/model/src/clock/index.ts
@@ -41,9 +41,12 @@
 /** Long delays are rounded up to a multiple of this number of milliseconds. */
 const longDelayStepMilliseconds = 20;
 
+/** Longest delay that Node.js takes; it fires a timer with a longer one at once. */
+const maximumDelayMilliseconds = 2_147_483_640;
+
 /** Rounds long delays to a few distinct values, since Node.js keeps a separate timer list for each value in use. */
 function roundDelay(delay: number): number {
-	return delay < longDelayMilliseconds ? delay : Math.ceil(delay / longDelayStepMilliseconds) * longDelayStepMilliseconds;
+	return delay < longDelayMilliseconds ? delay : Math.min(maximumDelayMilliseconds, Math.ceil(delay / longDelayStepMilliseconds) * longDelayStepMilliseconds);
 }
 
 class SystemTimer implements Timer {
--- a/packages/node/src/_lib/announcement-filter/index.ts
+++ b/packages/node/src/_lib/announcement-filter/index.ts
@@ -17,8 +17,8 @@
 	readonly isLeaving: boolean;
 };
 
-/** Whether an announcement was accepted (`taken`), waits until the departures are known (`deferred`), is stale (`outdated`), or is from another upstream than the node's (`of-another-upstream`). */
-export type AnnouncementOutcome = 'taken' | 'deferred' | 'outdated' | 'of-another-upstream';
+/** Whether an announcement was accepted (`taken`), waits until the departures are known (`deferred`), is stale (`outdated`), is from another upstream than the node's (`of-another-upstream`), or names a start in the future (`not-started`). */
+export type AnnouncementOutcome = 'taken' | 'deferred' | 'outdated' | 'of-another-upstream' | 'not-started';
 
 /** Tracks the newest announcement of the upstream beside a node. */
 export class AnnouncementFilter {
--- a/packages/node/src/_lib/upstream-presence/index.ts
+++ b/packages/node/src/_lib/upstream-presence/index.ts
@@ -8,7 +8,9 @@
 looked up the departures at the upstream's address.
 */
 
-import type {Clock, Timer, UpstreamDeparture} from '@fireflyglade/model';
+import {
+	InvalidInputError, type Clock, type ServiceName, type Timer, type UpstreamDeparture,
+} from '@fireflyglade/model';
 import type {Fields} from '@fireflyglade/observability';
 import type {DepartureLog} from '../../dependencies.js';
 import {AnnouncementFilter, type AnnouncementOutcome, type UpstreamAnnouncement} from '../announcement-filter/index.js';
@@ -25,6 +27,8 @@
 	readonly clock: Clock;
 	/** Address of the only upstream that may announce itself; any upstream may if absent. */
 	readonly address?: string;
+	/** Service of the only upstream that may announce itself; any service may if absent. */
+	readonly service?: ServiceName;
 	/** Keeps departures beyond a restart of the node; used only with `address`. */
 	readonly departures?: DepartureLog;
 	/** Called for each announcement of a present upstream. */
@@ -35,6 +39,8 @@
 	readonly onLogEvent?: (event: string, details: Fields) => void;
 };
 
+/** Difference that the wall clocks of an upstream and its node may have. A later start is implausible, and would keep all real ones out. */
+const maximumClockDifferenceMilliseconds = 86_400_000;
 const lookupRetryMilliseconds = 200;
 /** Time after which new announcements are accepted although no quorum has confirmed the departures, so that a control outage doesn't keep the upstreams of restarted nodes unused. */
 const lookupGraceMilliseconds = 5000;
@@ -76,9 +82,10 @@
 	@throws {Error} The departure could not be recorded, so it must not be acknowledged.
 	*/
 	async announce(announcement: UpstreamAnnouncement): Promise<AnnouncementOutcome> {
-		const {address, onPresent, onLeft} = this.#options;
-		if (address !== undefined && address !== announcement.address) {
-			return 'of-another-upstream';
+		const {onPresent, onLeft} = this.#options;
+		const refusal = this.#findRefusal(announcement);
+		if (refusal !== undefined) {
+			return refusal;
 		}
 
 		if (!this.#isSettled && !announcement.isLeaving) {
@@ -101,10 +108,15 @@
 	/**
 	Handles a leave notice. It takes effect at once, and the promise resolves when the departure is recorded.
 
+	@throws {InvalidInputError} The notice names a start in the future.
 	@throws {Error} The departure could not be recorded, so it must not be acknowledged.
 	*/
 	async leave({instance, bornAt}: LeaveNotice): Promise<void> {
 		const {clock, onLeft} = this.#options;
+		if (this.#isImplausible(bornAt ?? 0)) {
+			throw new InvalidInputError('the start of the upstream lies in the future');
+		}
+
 		// Without a start time, every start until now has left.
 		const departure = {instance, bornAt: bornAt ?? this.#filter.bornAtOf(instance) ?? clock.wallNow()};
 		if (this.#filter.leave(departure)) {
@@ -114,6 +126,20 @@
 		await this.#record(departure);
 	}
 
+	/** Finds out whether the announcement can't be one of the node's upstream. */
+	#findRefusal(announcement: UpstreamAnnouncement): AnnouncementOutcome | undefined {
+		const {address, service} = this.#options;
+		if ((address !== undefined && address !== announcement.address) || (service !== undefined && service !== announcement.service)) {
+			return 'of-another-upstream';
+		}
+
+		return this.#isImplausible(announcement.bornAt) ? 'not-started' : undefined;
+	}
+
+	#isImplausible(bornAt: number): boolean {
+		return bornAt > this.#options.clock.wallNow() + maximumClockDifferenceMilliseconds;
+	}
+
 	#defer(announcement: UpstreamAnnouncement): AnnouncementOutcome {
 		const waiting = this.#waiting;
 		if (waiting === undefined || announcement.bornAt > waiting.bornAt || (announcement.bornAt === waiting.bornAt && announcement.sequence > waiting.sequence)) {
--- a/packages/node/src/_lib/upstream-presence/test.ts
+++ b/packages/node/src/_lib/upstream-presence/test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {createServiceName, ManualClock, type UpstreamDeparture} from '@fireflyglade/model';
+import {
+	createServiceName, InvalidInputError, ManualClock, type UpstreamDeparture,
+} from '@fireflyglade/model';
 import {DepartureLogError} from '../../control-departures/index.js';
 import type {DepartureLog} from '../../dependencies.js';
 import type {UpstreamAnnouncement} from '../announcement-filter/index.js';
@@ -153,6 +155,16 @@
 		presence.close();
 	});
 
+	// Guards against: an entry of another writer takes the place of the sound upstream, and keeps it out.
+	it('refuses announcements and notices that name a start in the future', async () => {
+		const presence = start();
+		await settle();
+		await presence.announce(createAnnouncement());
+		expect(await presence.announce(createAnnouncement({instance: 'i-9', bornAt: Number.MAX_SAFE_INTEGER}))).to.equal('not-started');
+		expect(await catchError(presence.leave({instance: 'i-1', bornAt: Number.MAX_SAFE_INTEGER}))).to.be.instanceOf(InvalidInputError);
+		expect(await presence.announce(createAnnouncement({sequence: 2}))).to.equal('taken');
+	});
+
 	it('ignores announcements of an upstream at another address', async () => {
 		expect(await start().announce(createAnnouncement({address: '10.0.0.9:8080'}))).to.equal('of-another-upstream');
 	});
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -138,10 +138,11 @@
 				this.#announceTarget();
 			},
 		}, dependencies.announcementTimeoutMilliseconds);
-		const {ownUpstreamAddress, departures, onLogEvent} = dependencies;
+		const {ownUpstreamAddress, ownUpstreamService, departures, onLogEvent} = dependencies;
 		this.#presence = new UpstreamPresence({
 			clock,
 			...(ownUpstreamAddress === undefined ? {} : {address: ownUpstreamAddress}),
+			...(ownUpstreamService === undefined ? {} : {service: ownUpstreamService}),
 			...(departures === undefined ? {} : {departures}),
 			...(onLogEvent === undefined ? {} : {onLogEvent}),
 			onPresent: announcement => {
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -120,6 +120,8 @@
 	readonly onChannelListening?: (address: string) => void;
 	/** Address of the only upstream that may announce itself; any upstream may if absent. */
 	readonly ownUpstreamAddress?: string;
+	/** Service of the only upstream that may announce itself; any service may if absent. */
+	readonly ownUpstreamService?: ServiceName;
 	/** Milliseconds without an announcement after which the upstream is removed; 3 seconds if absent. */
 	readonly announcementTimeoutMilliseconds?: number;
 	readonly claims: JobClaims;
--- a/packages/node/src/fleet-runtime/index.ts
+++ b/packages/node/src/fleet-runtime/index.ts
@@ -502,6 +502,11 @@
 				return;
 			}
 
+			case 'target-rejected': {
+				this.#options.onLogEvent?.('target rejected', {node: event.node});
+				return;
+			}
+
 			case 'newer-revision': {
 				void this.#fetchConfiguration(event.rpcAddress, event.revision);
 				return;
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -5,7 +5,9 @@
 
 import {randomInt} from 'node:crypto';
 import {GateAdmission, type AdmissionOptions, type ConcurrencyLimit} from '@fireflyglade/admission';
-import {SeededRandom, SystemClock, type Revision} from '@fireflyglade/model';
+import {
+	SeededRandom, SystemClock, type Revision, type ServiceName,
+} from '@fireflyglade/model';
 import {
 	ProcessObserver, createSpanRecorder, type Fields, type SpanRecorder,
 } from '@fireflyglade/observability';
@@ -38,6 +40,8 @@
 	readonly channelAddress?: string;
 	/** Address of the only upstream that may announce itself. */
 	readonly ownUpstreamAddress?: string;
+	/** Service of the only upstream that may announce itself. */
+	readonly ownUpstreamService?: ServiceName;
 	/** Milliseconds without an announcement after which the upstream is removed. */
 	readonly announcementTimeoutMilliseconds?: number;
 	/** True if the addresses of other nodes and control processes are also taken from the report answers of control processes. */
@@ -127,6 +131,7 @@
 		...(options.shouldLimitRootRequests === undefined ? {} : {shouldLimitRootRequests: options.shouldLimitRootRequests}),
 		...(options.channelAddress === undefined ? {} : {channelAddress: options.channelAddress}),
 		...(options.ownUpstreamAddress === undefined ? {} : {ownUpstreamAddress: options.ownUpstreamAddress}),
+		...(options.ownUpstreamService === undefined ? {} : {ownUpstreamService: options.ownUpstreamService}),
 		...(options.announcementTimeoutMilliseconds === undefined ? {} : {announcementTimeoutMilliseconds: options.announcementTimeoutMilliseconds}),
 		claims: new ControlClaims({client, control: settings.control, clock}),
 		departures: new ControlDepartures({client, control: () => fleet.controlAddresses()}),
