Keep the start of a body for the retry that was decided on

Cause: the retry was decided while the body's start was kept; the first attempt read on and dropped it; the retry then threw BodySpentError in a timer, where nothing caught it. Change: the first attempt ends when the retry is decided; earlier readers can't consume the body; an unexpected error at the start of an attempt ends that call alone.

--- a/packages/node/src/_lib/call-attempts/index.ts
+++ b/packages/node/src/_lib/call-attempts/index.ts
@@ -14,6 +14,7 @@
 	UnreachableError,
 	type Clock, type GateLevel, type NodeId, type Problem, type ProblemCode, type RandomSource, type RequestId, type Route, type ServiceName, type Target, type TeamName, type Timer, type UpstreamId,
 } from '@fireflyglade/model';
+import type {Fields} from '@fireflyglade/observability';
 import {
 	backoffDelay, getRemainingAttempts, splitAttempts,
 	type AttemptOutcome, type AttemptSplit, type QueueingDelay, type EntryThrottle, type RetryBudgets, type RootRoute, type RootLoadShedder, type Routing, type ThrottleKey,
@@ -67,6 +68,8 @@
 	readonly rootLoadShedder?: RootLoadShedder;
 	/** Called with the queueing delay that was reported to a call which the node's own upstream made. */
 	readonly onDownstreamQueueingDelay?: (queueingDelay: QueueingDelay) => void;
+	/** Called with events for the log. */
+	readonly onLogEvent?: (event: string, details: Fields) => void;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 };
@@ -168,7 +171,7 @@
 		this.#deadlineTimer = clock.startTimer(this.#call.deadline - clock.now() + deadlineGraceMilliseconds, () => {
 			this.#handleDeadline();
 		});
-		this.#startAttempt();
+		this.#startAttemptOrFail();
 	}
 
 	cancel(): void {
@@ -195,6 +198,12 @@
 		this.#remainingAttempts = getRemainingAttempts(this.#attemptSplit, {kind: 'ran', unspent: metadata.retriesLeft});
 		if (retryableStatuses.has(head.status) && this.#call.route.idempotent && this.#hasDownstreamCapacity() && this.#acquireRetry()) {
 			this.#mayHaveRun = true;
+			if (!this.#call.body.isComplete) {
+				// Reading on for this attempt would consume the start of the body, which the next one needs.
+				this.#abandonFailure();
+				return;
+			}
+
 			this.#discardedFailure = new DiscardedResponse(this.#options.clock, () => {
 				this.#abandonFailure();
 			});
@@ -443,14 +452,26 @@
 	#scheduleRetry(): void {
 		const {clock, random} = this.#options;
 		const delay = backoffDelay(this.#attemptCount, random);
+		this.#call.body.endReaders();
 		this.#retryTimer = clock.startTimer(delay, () => {
 			this.#retryTimer = undefined;
 			if (!this.#isDone) {
-				this.#startAttempt();
+				this.#startAttemptOrFail();
 			}
 		});
 	}
 
+	/** Starts an attempt; an unexpected error ends this call alone. */
+	#startAttemptOrFail(): void {
+		try {
+			this.#startAttempt();
+		} catch (error: unknown) {
+			this.#options.onLogEvent?.('call failed unexpectedly', {reason: error instanceof Error ? error.message : 'unknown reason'});
+			this.#endAttempt({kind: 'failed'});
+			this.#finish({code: 'internal', outcome: 'not-run', detail: 'the node failed before the request was sent again'});
+		}
+	}
+
 	#end(): void {
 		this.#isDone = true;
 		this.#discardedFailure?.end();
--- a/packages/transport/src/http-body/index.ts
+++ b/packages/transport/src/http-body/index.ts
@@ -35,8 +35,12 @@
 export type RequestBody = {
 	/** Length in bytes, if it is known before the body is read. */
 	readonly length: number | undefined;
+	/** True once the body is completely in memory, or was read to its end. */
+	readonly isComplete: boolean;
 	/** True if the body can be read again from its start. */
 	canReplay(): boolean;
+	/** Ends the readers that `open` has returned, so that none of them consumes the start of the body any more; their next read fails. */
+	endReaders(): void;
 	/**
 	Starts reading the body from its start.
 
@@ -57,10 +61,18 @@
 		return this.#content?.byteLength ?? 0;
 	}
 
+	get isComplete(): boolean {
+		return true;
+	}
+
 	canReplay(): boolean {
 		return true;
 	}
 
+	endReaders(): void {
+		// The content is not consumed.
+	}
+
 	open(): OutgoingBody {
 		return this.#content;
 	}
@@ -85,6 +97,8 @@
 	#bytesRead = 0;
 	#isSourceEnded = false;
 	#pendingRead: Promise<void> | undefined;
+	/** Number of the reader that may read. */
+	#currentReader = 0;
 
 	constructor(source: AsyncIterable<Uint8Array>, options: StreamedBodyOptions) {
 		this.length = options.length;
@@ -92,21 +106,34 @@
 		this.#options = options;
 	}
 
+	get isComplete(): boolean {
+		return this.#isSourceEnded;
+	}
+
 	canReplay(): boolean {
 		return this.#firstBufferedIndex === 0;
 	}
 
+	endReaders(): void {
+		this.#currentReader += 1;
+	}
+
 	open(): OutgoingBody {
 		if (!this.canReplay()) {
 			throw new BodySpentError('the start of the body is no longer buffered');
 		}
 
-		return Readable.from(this.#read(), {objectMode: false});
+		this.endReaders();
+		return Readable.from(this.#read(this.#currentReader), {objectMode: false});
 	}
 
-	async * #read(): AsyncGenerator<Uint8Array> {
+	async * #read(reader: number): AsyncGenerator<Uint8Array> {
 		let position = 0;
 		for (;;) {
+			if (reader !== this.#currentReader) {
+				throw new BodySpentError('the body is read for another attempt');
+			}
+
 			const index = position - this.#firstBufferedIndex;
 			if (index < this.#bufferedChunks.length) {
 				position += 1;
