Keep a body that has failed from being sent again

Cause: the source's iterator throws once and is done afterwards; StreamedBody forgot the failure. Change: the failure is kept for all readers; at the end the length, and whether the request was complete, are checked. Bodies over their maximum take the same way.

--- a/packages/node/src/_lib/request-body/index.ts
+++ b/packages/node/src/_lib/request-body/index.ts
@@ -48,6 +48,7 @@
 		length: framing.kind === 'length' ? framing.length : undefined,
 		maximumReplayBytes,
 		maximumBytes: options.maximumBytes,
+		isWhole: () => request.complete,
 	});
 }
 
--- a/packages/transport/src/http-body/index.ts
+++ b/packages/transport/src/http-body/index.ts
@@ -45,6 +45,7 @@
 	Starts reading the body from its start.
 
 	@throws {BodySpentError} The start is no longer buffered.
+	@throws {BodyBrokenError} The body is known to be incomplete.
 	*/
 	open(): OutgoingBody;
 };
@@ -85,6 +86,8 @@
 	readonly maximumReplayBytes: number;
 	/** Maximum length of the body in bytes; reading a longer one fails with `BodyTooLargeError`. */
 	readonly maximumBytes: number;
+	/** Tells whether the source delivered its whole body; asked once the source has ended. */
+	readonly isWhole?: () => boolean;
 };
 
 /** A body that is streamed from its source, with its start buffered up to a limit. */
@@ -96,6 +99,8 @@
 	#firstBufferedIndex = 0;
 	#bytesRead = 0;
 	#isSourceEnded = false;
+	/** Why the body can't be read to its end. A source that has failed once says that it has ended when it is asked again. */
+	#failure: Error | undefined;
 	#pendingRead: Promise<void> | undefined;
 	/** Number of the reader that may read. */
 	#currentReader = 0;
@@ -111,7 +116,7 @@
 	}
 
 	canReplay(): boolean {
-		return this.#firstBufferedIndex === 0;
+		return this.#firstBufferedIndex === 0 && this.#failure === undefined;
 	}
 
 	endReaders(): void {
@@ -119,6 +124,10 @@
 	}
 
 	open(): OutgoingBody {
+		if (this.#failure !== undefined) {
+			throw this.#failure;
+		}
+
 		if (!this.canReplay()) {
 			throw new BodySpentError('the start of the body is no longer buffered');
 		}
@@ -141,6 +150,10 @@
 				continue;
 			}
 
+			if (this.#failure !== undefined) {
+				throw this.#failure;
+			}
+
 			if (this.#isSourceEnded) {
 				return;
 			}
@@ -168,7 +181,7 @@
 		try {
 			const result = await this.#source.next();
 			if (result.done) {
-				this.#isSourceEnded = true;
+				this.#end();
 				return;
 			}
 
@@ -178,10 +191,22 @@
 			}
 
 			this.#bufferedChunks.push(result.value);
+		} catch (error: unknown) {
+			this.#failure = error instanceof FireflygladeError ? error : new BodyBrokenError('the caller disconnected in the middle of the body', {cause: error});
+			throw this.#failure;
 		} finally {
 			this.#pendingRead = undefined;
 		}
 	}
+
+	#end(): void {
+		const isWhole = this.#options.isWhole?.() ?? true;
+		if (!isWhole || (this.length !== undefined && this.#bytesRead !== this.length)) {
+			throw new BodyBrokenError('the body ended before its end was received');
+		}
+
+		this.#isSourceEnded = true;
+	}
 }
 
 /**
