Write 100 Continue only when its response has the connection

Cause: the interim response was written while the response waited behind another; Node.js buffers it and puts the head of the final response before it. Change: it is written once the response has the connection, and left out if the final one has begun.

--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -12,7 +12,7 @@
 	type Configuration, type JobKey, type Problem, type ProblemCode, type RequestId, type Route, type TeamName,
 } from '@fireflyglade/model';
 import {
-	BodyBrokenError, selectRequestFields, writeProblem,
+	BodyBrokenError, selectRequestFields, writeContinue, writeProblem,
 	type RequestBody,
 } from '@fireflyglade/transport';
 import type {ChargeOutcome} from '@fireflyglade/rates';
@@ -280,7 +280,7 @@
 		}
 
 		if (active.request.headers.expect !== undefined) {
-			active.response.writeContinue();
+			writeContinue(active.response);
 		}
 
 		return {kind: 'body', body: await this.#readBody(active, framing)};
--- a/packages/node/src/create-node/test.ts
+++ b/packages/node/src/create-node/test.ts
@@ -1,7 +1,9 @@
 import {once} from 'node:events';
 import {request as nodeRequest, type IncomingMessage} from 'node:http';
+import {connect, type Socket} from 'node:net';
 import {PassThrough, Readable} from 'node:stream';
 import {expect} from 'chai';
+import {parseAddress} from '@fireflyglade/transport';
 import {request} from 'undici';
 import {
 	echoRequest, announce, createRoute, sendRawRequest, fleetToken, redSecret, TestFleet, waitUntil,
@@ -78,6 +80,56 @@
 			expect(Object.keys(answer.headers).filter(name => name.startsWith('fireflyglade-'))).to.deep.equal([]);
 		});
 
+		/** Sends a GET and, behind it, a POST that expects 100; returns what is received on the connection, and a function that ends the GET's response. */
+		const sendBehind = async (body: string): Promise<{readonly socket: Socket; readonly seen: () => string; readonly end: () => void}> => {
+			let end: (() => void) | undefined;
+			upstream.handler = (message, response, received) => {
+				if (received.method === 'POST') {
+					echoRequest(message, response, received);
+					return;
+				}
+
+				end = () => {
+					response.end('first');
+				};
+			};
+
+			const head = (method: string, path: string, fields: string): string => `${method} ${path} HTTP/1.1\r\nhost: a\r\nauthorization: ${authorization}\r\n${fields}\r\n`;
+			const {host, port} = parseAddress(entry.addresses.callers);
+			const socket = connect(port, host);
+			let seen = '';
+			socket.setEncoding('latin1');
+			socket.on('data', (text: string) => {
+				seen += text;
+			});
+			socket.write(head('GET', '/orders/1', '') + head('POST', '/orders', 'expect: 100-continue\r\ncontent-length: 4\r\n') + body);
+			await waitUntil(() => end !== undefined && entry.inFlight() >= 2);
+			return {socket, seen: () => seen, end: end!};
+		};
+
+		const statusesOf = (seen: string): readonly string[] => seen.split('HTTP/1.1 ').slice(1).map(part => part.slice(0, 3));
+
+		it('tells a caller to send its body once the earlier responses of the connection are written', async () => {
+			const {socket, seen, end} = await sendBehind('');
+			end();
+			await waitUntil(() => seen().includes('100 Continue'));
+			socket.write('wood');
+			await waitUntil(() => seen().includes('"body":"wood"'));
+			expect(statusesOf(seen())).to.deep.equal(['200', '100', '200']);
+			socket.destroy();
+		});
+
+		// Guards against: an interim response becomes the body of a final one.
+		it('answers a body that its caller sent without waiting, behind another request, with the response alone', async () => {
+			const finishedBefore = fleet.observer.finished.length;
+			const {socket, seen, end} = await sendBehind('wood');
+			await waitUntil(() => fleet.observer.finished.length > finishedBefore);
+			end();
+			await waitUntil(() => statusesOf(seen()).length >= 2 && seen().includes('"body":"wood"'));
+			expect(statusesOf(seen())).to.deep.equal(['200', '200']);
+			socket.destroy();
+		});
+
 		it('streams a large body completely in both directions', async () => {
 			const size = 8 * mebibyte;
 			upstream.handler = (message, response) => {
--- a/packages/transport/src/http-body/test.ts
+++ b/packages/transport/src/http-body/test.ts
@@ -1,5 +1,6 @@
-import {Readable} from 'node:stream';
+import {PassThrough, Readable} from 'node:stream';
 import {expect} from 'chai';
+import {catchError} from '../test-support/catch-error.js';
 import {
 	BodyBrokenError, BodySpentError, BodyTooLargeError, StreamedBody, type RequestBody,
 } from './index.js';
@@ -28,16 +29,6 @@
 	return text;
 }
 
-async function catchError(promise: Promise<unknown>): Promise<unknown> {
-	try {
-		await promise;
-	} catch (error: unknown) {
-		return error;
-	}
-
-	return undefined;
-}
-
 describe('StreamedBody', () => {
 	it('can be read again from its start while that is buffered', async () => {
 		const body = new StreamedBody(Readable.from([Buffer.from('ab'), Buffer.from('cd')]), limits);
@@ -72,26 +63,15 @@
 	});
 
 	it('keeps its start from a reader that has been ended', async () => {
-		const chunks = ['ab', 'cd'];
-		let deliver: (() => void) | undefined;
-		const source = (async function * () {
-			yield Buffer.from(chunks[0]!);
-			await new Promise<void>(resolve => {
-				deliver = resolve;
-			});
-			yield Buffer.alloc(20, 'x');
-		})();
+		const source = new PassThrough();
 		const body = new StreamedBody(source, limits);
-		const first = catchError(read(body));
-		while (deliver === undefined) {
-			await new Promise<void>(resolve => {
-				setImmediate(resolve);
-			});
-		}
-
+		source.write('ab');
+		const reader = (body.open() as Readable)[Symbol.asyncIterator]();
+		await reader.next();
+		const next = catchError(reader.next());
 		body.endReaders();
-		deliver();
-		expect(await first).to.be.instanceOf(BodySpentError);
+		source.end(Buffer.alloc(20, 'x'));
+		expect(await next).to.be.instanceOf(BodySpentError);
 		expect(await read(body)).to.equal(`ab${'x'.repeat(20)}`);
 	});
 });
--- a/packages/transport/src/http-response/index.ts
+++ b/packages/transport/src/http-response/index.ts
@@ -120,6 +120,23 @@
 	writer.flush();
 }
 
+/**
+Tells the caller to send the body of its request. Behind another response, this waits for
+its turn: bytes that are written earlier would become a part of the final response's body.
+*/
+export function writeContinue(response: ServerResponse): void {
+	if (response.socket !== null) {
+		response.writeContinue();
+		return;
+	}
+
+	response.once('socket', () => {
+		if (!response.headersSent) {
+			response.writeContinue();
+		}
+	});
+}
+
 /** Resets the connection of a response that can't be completed. */
 export function abortResponse(response: ServerResponse): void {
 	const {socket} = response;
--- a/packages/transport/src/load-fleet-credentials/test.ts
+++ b/packages/transport/src/load-fleet-credentials/test.ts
@@ -2,18 +2,9 @@
 import os from 'node:os';
 import path from 'node:path';
 import {expect} from 'chai';
+import {catchError} from '../test-support/catch-error.js';
 import {CredentialsError, loadFleetCredentials} from './index.js';
 
-async function errorOf(promise: Promise<unknown>): Promise<unknown> {
-	try {
-		await promise;
-	} catch (error: unknown) {
-		return error;
-	}
-
-	return undefined;
-}
-
 describe('loadFleetCredentials', () => {
 	let folder: string;
 
@@ -34,11 +25,11 @@
 	it('rejects a short token', async () => {
 		const tokenFile = path.join(folder, 'token');
 		await writeFile(tokenFile, 'short');
-		expect(await errorOf(loadFleetCredentials({kind: 'token', tokenFile}))).to.be.instanceOf(CredentialsError);
+		expect(await catchError(loadFleetCredentials({kind: 'token', tokenFile}))).to.be.instanceOf(CredentialsError);
 	});
 
 	it('names the file that can\'t be read in the error', async () => {
-		const error = await errorOf(loadFleetCredentials({kind: 'token', tokenFile: path.join(folder, 'absent')}));
+		const error = await catchError(loadFleetCredentials({kind: 'token', tokenFile: path.join(folder, 'absent')}));
 		expect(error).to.be.instanceOf(CredentialsError);
 		expect(String(error)).to.contain('absent');
 	});
