--- a/packages/consensus/src/_lib/durable-outbox.ts
+++ b/packages/consensus/src/_lib/durable-outbox.ts
@@ -11,7 +11,7 @@
 	ConsensusAction, ConsensusMessage, HardState, Snapshot,
 } from '../types.js';
 import type {ConsensusPayload} from './payload.js';
-import type {RaftLog} from './raft-log.js';
+import type {RaftLog} from './raft-log/index.js';
 
 type CurrentWrite = {
 	readonly number: number;
--- a/packages/consensus/src/_lib/member-state.ts
+++ b/packages/consensus/src/_lib/member-state.ts
@@ -9,7 +9,7 @@
 import {ConsensusInvariantError} from '../errors/index.js';
 import type {LogEntry, Snapshot, StoredState} from '../types.js';
 import {DurableOutbox} from './durable-outbox.js';
-import {RaftLog} from './raft-log.js';
+import {RaftLog} from './raft-log/index.js';
 
 /** Timeouts and limits of a member. */
 export type MemberOptions = {
@@ -23,6 +23,8 @@
 	readonly heartbeatIntervalMilliseconds: number;
 	/** Entries that stay in memory when a snapshot covers them, so that slightly lagging followers need no snapshot. */
 	readonly retainedEntries: number;
+	/** The most bytes of the commands of such entries. */
+	readonly retainedBytes: number;
 	/** The most entries in one message. */
 	readonly maximumEntriesPerMessage: number;
 	/** Once the commands in a message reach this many bytes, no further entry is added. */
--- a/packages/consensus/src/_lib/raft-log.ts
+++ b/packages/consensus/src/_lib/raft-log/index.ts
@@ -4,10 +4,10 @@
 */
 
 import type {MemberId} from '@fireflyglade/model';
-import {ConsensusInvariantError} from '../errors/index.js';
+import {ConsensusInvariantError} from '../../errors/index.js';
 import type {
 	LogEntry, MemberSet, SavedState, Snapshot, StoredState,
-} from '../types.js';
+} from '../../types.js';
 
 /** A member set and the index of the entry that introduced it. */
 type IndexedMembers = {
@@ -15,6 +15,12 @@
 	readonly members: MemberSet;
 };
 
+/** The most entries, and bytes of their commands, that stay in memory when a snapshot covers them. */
+export type RetainedEntries = {
+	readonly entries: number;
+	readonly bytes: number;
+};
+
 const noMembers: MemberSet = {voters: [], learners: []};
 
 /** The log of one member. */
@@ -124,11 +130,11 @@
 
 	/**
 	Creates a snapshot from a saved state and drops the entries that it covers, except
-	for the last `retained` of them.
+	for the last of them, up to a number of entries and of bytes of their commands.
 
 	@throws {ConsensusInvariantError} The log has no entry at the index of the saved state.
 	*/
-	compact(saved: SavedState, retained: number): Snapshot {
+	compact(saved: SavedState, retained: RetainedEntries): Snapshot {
 		const lastTerm = this.termAt(saved.lastIndex);
 		if (lastTerm === undefined) {
 			throw new ConsensusInvariantError(`can't create a snapshot at index ${saved.lastIndex}: the log has no such entry`);
@@ -138,7 +144,7 @@
 			lastIndex: saved.lastIndex, lastTerm, members: this.membersAt(saved.lastIndex), data: saved.data,
 		};
 		this.#snapshot = snapshot;
-		this.#dropUpTo(Math.max(this.#baseIndex, saved.lastIndex - retained));
+		this.#dropUpTo(this.#findRetainedBase(saved.lastIndex, retained));
 		return snapshot;
 	}
 
@@ -151,6 +157,20 @@
 		this.#members = [{index: snapshot.lastIndex, members: snapshot.members}];
 	}
 
+	/** The index after which entries are retained if a snapshot covers them up to `lastIndex`. */
+	#findRetainedBase(lastIndex: number, {entries, bytes}: RetainedEntries): number {
+		const lowest = Math.max(this.#baseIndex, lastIndex - entries);
+		let remainingBytes = bytes;
+		for (let index = lastIndex; index > lowest; index--) {
+			remainingBytes -= commandBytes(this.#entries[index - this.#baseIndex - 1]!);
+			if (remainingBytes < 0) {
+				return index;
+			}
+		}
+
+		return lowest;
+	}
+
 	#dropUpTo(index: number): void {
 		const term = this.termAt(index) ?? this.#baseTerm;
 		const members = this.membersAt(index);
@@ -160,3 +180,7 @@
 		this.#baseTerm = term;
 	}
 }
+
+function commandBytes({payload}: LogEntry): number {
+	return payload.kind === 'command' ? payload.command.byteLength : 0;
+}
--- a/packages/consensus/src/raft-consensus/index.ts
+++ b/packages/consensus/src/raft-consensus/index.ts
@@ -47,6 +47,7 @@
 	electionTimeoutMilliseconds: 1000,
 	heartbeatIntervalMilliseconds: 100,
 	retainedEntries: 1000,
+	retainedBytes: 8_388_608,
 	maximumEntriesPerMessage: 512,
 	maximumBytesPerMessage: 1_048_576,
 	maximumEntriesInFlight: 4096,
@@ -156,7 +157,7 @@
 		this.#state.advanceTime(now);
 		const {log, appliedIndex, options} = this.#state;
 		if (saved.lastIndex <= appliedIndex && saved.lastIndex > (log.snapshot?.lastIndex ?? 0)) {
-			this.#state.outbox.writeCompaction(log.compact(saved, options.retainedEntries));
+			this.#state.outbox.writeCompaction(log.compact(saved, {entries: options.retainedEntries, bytes: options.retainedBytes}));
 		}
 
 		return this.#finishStep();
--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -129,6 +129,7 @@
 			clock,
 			stateMachine: snapshot === undefined ? new ConfigurationStateMachine() : ConfigurationStateMachine.restore(snapshot.data),
 			appliedIndex: snapshot?.lastIndex ?? 0,
+			snapshotBytes: snapshot?.data.byteLength ?? 0,
 			send(message) {
 				channel.send(message);
 			},
--- a/packages/control/src/replicated-log/index.ts
+++ b/packages/control/src/replicated-log/index.ts
@@ -6,10 +6,10 @@
 
 import {
 	writePersistAction, type Consensus, type ConsensusAction, type ConsensusMessage, type ConsensusStatus, type LogEntry, type MemberSet,
-	type MembershipChangeRefusal, type PersistAction, type Snapshot,
+	type MembershipChangeRefusal, type PersistAction, type SavedState, type Snapshot,
 } from '@fireflyglade/consensus';
 import {
-	type FireflygladeError, UnreachableError, type Clock, type MemberId, type Timer,
+	bytesInMebibyte, type FireflygladeError, UnreachableError, type Clock, type MemberId, type Timer,
 } from '@fireflyglade/model';
 import {
 	ConfigurationStateMachine, decodeCommand, encodeCommand, type Command, type CommandResult,
@@ -31,8 +31,12 @@
 	readonly send: (message: ConsensusMessage) => void;
 	/** Called once if the storage fails; the process must then exit. */
 	readonly onStorageFailure: (error: StorageFailedError) => void;
-	/** Number of applied entries between two snapshots. */
+	/** Number of applied entries between two snapshots, at most. */
 	readonly snapshotInterval?: number;
+	/** Bytes of applied commands between two snapshots, at most; the size of the last snapshot if that is larger. */
+	readonly snapshotIntervalBytes?: number;
+	/** Size in bytes of the snapshot from which `stateMachine` was restored; 0 if there was none. */
+	readonly snapshotBytes?: number;
 };
 
 /** Outcome of a command proposed to this member. */
@@ -50,6 +54,7 @@
 const proposalTimeoutMilliseconds = 3000;
 const readTimeoutMilliseconds = 3000;
 const defaultSnapshotInterval = 2000;
+const defaultSnapshotIntervalBytes = 8 * bytesInMebibyte;
 
 /** The replicated log of a control process. */
 export class ReplicatedLog {
@@ -57,6 +62,9 @@
 	#stateMachine: ConfigurationStateMachine;
 	#appliedIndex: number;
 	#snapshotIndex: number;
+	#snapshotBytes: number;
+	/** Bytes of the commands that were applied since the last snapshot. */
+	#bytesSinceSnapshot = 0;
 	#lastPersist: Promise<void> = Promise.resolve();
 	#tickTimer: Timer | undefined;
 	#isClosed = false;
@@ -76,6 +84,7 @@
 		this.#stateMachine = options.stateMachine;
 		this.#appliedIndex = options.appliedIndex;
 		this.#snapshotIndex = options.appliedIndex;
+		this.#snapshotBytes = options.snapshotBytes ?? 0;
 	}
 
 	/** Starts the periodic ticks of the consensus algorithm. */
@@ -313,6 +322,7 @@
 			}
 
 			case 'command': {
+				this.#bytesSinceSnapshot += entry.payload.command.byteLength;
 				const result = this.#stateMachine.apply(decodeCommand(entry.payload.command));
 				this.#resolveProposal(entry.index, result);
 				return;
@@ -348,19 +358,32 @@
 	#restore(snapshot: Snapshot): void {
 		this.#stateMachine = ConfigurationStateMachine.restore(snapshot.data);
 		this.#appliedIndex = snapshot.lastIndex;
-		this.#snapshotIndex = snapshot.lastIndex;
+		this.#recordSnapshot(snapshot);
 		for (const listener of this.#appliedListeners) {
 			listener();
 		}
 	}
 
+	#recordSnapshot({lastIndex, data}: SavedState): void {
+		this.#snapshotIndex = lastIndex;
+		this.#snapshotBytes = data.byteLength;
+		this.#bytesSinceSnapshot = 0;
+	}
+
+	/** A snapshot is due after a number of entries or of bytes, as the log is kept in memory and read at the start as a whole. */
+	#isSnapshotDue(): boolean {
+		const {snapshotInterval, snapshotIntervalBytes} = this.#options;
+		return this.#appliedIndex - this.#snapshotIndex >= (snapshotInterval ?? defaultSnapshotInterval)
+			|| this.#bytesSinceSnapshot >= Math.max(snapshotIntervalBytes ?? defaultSnapshotIntervalBytes, this.#snapshotBytes);
+	}
+
 	#snapshotIfDue(): void {
-		if (this.#appliedIndex - this.#snapshotIndex < (this.#options.snapshotInterval ?? defaultSnapshotInterval)) {
+		if (!this.#isSnapshotDue()) {
 			return;
 		}
 
-		this.#snapshotIndex = this.#appliedIndex;
 		const snapshot = {lastIndex: this.#appliedIndex, data: this.#stateMachine.save()};
+		this.#recordSnapshot(snapshot);
 		this.#runActions(this.#options.consensus.compact(snapshot, this.#options.clock.now()));
 	}
 }
--- a/packages/storage/src/open-log-storage/index.ts
+++ b/packages/storage/src/open-log-storage/index.ts
@@ -38,7 +38,7 @@
 	readonly hasExclusiveAccess?: boolean;
 };
 
-const defaultSegmentBytes = 16_777_216;
+const defaultSegmentBytes = 4_194_304;
 
 const noLock: FolderLock = {
 	async release() {
@@ -81,7 +81,7 @@
 	readonly #segmentBytes: number;
 	#segments: Segment[] = [];
 	#currentFile: FileHandle | undefined;
-	/** The content that `recover` read; cleared by the first write or snapshot, after which `load` reads the files again. */
+	/** The content that `recover` read, for the first `load` alone, so that it isn't held twice; a later one reads the files again. */
 	#recovered: LoadedLog | undefined;
 	#value: Uint8Array | undefined;
 	/** Index of the last record, as a replay of the segment files finds it; undefined if there are no records. */
@@ -132,10 +132,14 @@
 	}
 
 	async load(): Promise<LoadedLog> {
-		return this.#enqueue(async () => this.#recovered ?? this.#combine(
-			await readSegments(this.#fileSystem, this.#folder),
-			await readSnapshot(this.#fileSystem, this.#folder),
-		));
+		return this.#enqueue(async () => {
+			const recovered = this.#recovered;
+			this.#recovered = undefined;
+			return recovered ?? this.#combine(
+				await readSegments(this.#fileSystem, this.#folder),
+				await readSnapshot(this.#fileSystem, this.#folder),
+			);
+		});
 	}
 
 	async close(): Promise<void> {
