Let a response that can't be written end alone

Change: Trailer is left out beside a length; what is thrown while a response is written closes its connection, is logged, and reaches nobody else.

--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -189,6 +189,8 @@
 			traceparent,
 			answer: new FinalResponse(response, this.#interface, end => {
 				this.#finish(active, end, start);
+			}, error => {
+				this.#options.dependencies.onLogEvent?.('response not written', {reason: error.message, request: requestId});
 			}),
 		};
 		return active;
--- a/packages/node/src/_lib/final-response/index.ts
+++ b/packages/node/src/_lib/final-response/index.ts
@@ -27,10 +27,11 @@
 	#status = 0;
 	#isEnded = false;
 
-	constructor(response: ServerResponse, callInterface: CallInterface, ended: (end: ResponseEnd) => void) {
+	/** @param onWriteError - Called if the response can't be written, for the log. */
+	constructor(response: ServerResponse, callInterface: CallInterface, ended: (end: ResponseEnd) => void, onWriteError: (error: Error) => void) {
 		this.#response = response;
 		this.#interface = callInterface;
-		this.#writer = new ResponseWriter(response);
+		this.#writer = new ResponseWriter(response, onWriteError);
 		this.#onEnded = ended;
 	}
 
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -152,7 +152,9 @@
 				this.#announcements.leave();
 			},
 		});
-		const gateHandler = new GateListenerHandler({gate: this.#gate, credentials, clock});
+		const gateHandler = new GateListenerHandler({
+			gate: this.#gate, credentials, clock, ...(onLogEvent === undefined ? {} : {onLogEvent}),
+		});
 		this.#listeners = {
 			callers: new HttpListener((request, response) => {
 				this.#callers.handle(request, response);
--- a/packages/node/src/create-node/test.ts
+++ b/packages/node/src/create-node/test.ts
@@ -80,6 +80,22 @@
 			expect(Object.keys(answer.headers).filter(name => name.startsWith('fireflyglade-'))).to.deep.equal([]);
 		});
 
+		// Guards against: a field that does not fit the framing of a response ends the process of a node.
+		it('passes on a response with a length and a field Trailer, without that field', async () => {
+			upstream.handler = (_message, response) => {
+				const {socket} = response;
+				socket!.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntrailer: x-sum\r\n\r\n', () => {
+					setImmediate(() => {
+						socket!.end('whole');
+					});
+				});
+			};
+
+			const answer = await open(entry, '/orders/1');
+			expect(answer.headers).not.to.have.property('trailer');
+			expect(await readText(answer)).to.equal('whole');
+		});
+
 		/** Sends a GET and, behind it, a POST that expects 100; returns what is received on the connection, and a function that ends the GET's response. */
 		const sendBehind = async (body: string): Promise<{readonly socket: Socket; readonly seen: () => string; readonly end: () => void}> => {
 			let end: (() => void) | undefined;
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -8,6 +8,7 @@
 	InvalidInputError,
 	type Clock, type Problem,
 } from '@fireflyglade/model';
+import type {Fields} from '@fireflyglade/observability';
 import {
 	ResponseWriter, readWholeBody, selectRequestFields, writeProblem,
 	type ResponseFlow, type ResponseHead, type FleetCredentials, type HeaderFields, type OutgoingBody,
@@ -28,18 +29,22 @@
 	readonly gate: Gate;
 	readonly credentials: FleetCredentials;
 	readonly clock: Clock;
+	/** Called with events for the log. */
+	readonly onLogEvent?: (event: string, details: Fields) => void;
 };
 
 /** Handles the requests of the gate listener. */
 export class GateListenerHandler {
 	readonly #gate: Gate;
 	readonly #clock: Clock;
+	readonly #onLogEvent: GateListenerOptions['onLogEvent'];
 	/** Absent with mutual TLS, which authenticates peers by certificate. */
 	readonly #secretVerifier: SecretVerifier | undefined;
 
 	constructor(options: GateListenerOptions) {
 		this.#gate = options.gate;
 		this.#clock = options.clock;
+		this.#onLogEvent = options.onLogEvent;
 		this.#secretVerifier = options.credentials.kind === 'token' ? new SecretVerifier(options.credentials.token) : undefined;
 	}
 
@@ -86,7 +91,9 @@
 	}
 
 	#run(call: PeerCall, request: IncomingMessage, response: ServerResponse, content: {readonly body: OutgoingBody; readonly length: number | undefined}): void {
-		const receiver = new PeerAnswerWriter(response);
+		const receiver = new PeerAnswerWriter(response, error => {
+			this.#onLogEvent?.('response not written', {reason: error.message, request: call.requestId});
+		});
 		const running = this.#gate.run(this.#createGateCall(call, request, content), receiver);
 		response.once('close', () => {
 			if (!receiver.isEnded) {
@@ -131,9 +138,9 @@
 	#isStreamed = false;
 	#isEnded = false;
 
-	constructor(response: ServerResponse) {
+	constructor(response: ServerResponse, onWriteError: (error: Error) => void) {
 		this.#response = response;
-		this.#writer = new ResponseWriter(response);
+		this.#writer = new ResponseWriter(response, onWriteError);
 	}
 
 	/** True once the answer has ended. */
--- a/packages/transport/src/http-fields/index.ts
+++ b/packages/transport/src/http-fields/index.ts
@@ -83,12 +83,14 @@
 
 /**
 Selects the fields of a response that are forwarded to the caller, as an object for
-`writeHead`. Hop-by-hop fields and fields that are reserved for the system are removed.
+`writeHead`. Hop-by-hop fields and fields that are reserved for the system are removed,
+and `Trailer` beside a length, as only a chunked body can have trailers.
 */
 export function selectResponseFields(fields: HeaderFields): Record<string, string | string[]> {
 	const {connection} = fields;
 	const connectionNames = parseConnectionField(typeof connection === 'string' ? connection : connection?.join(','));
 	const selected: Record<string, string | string[]> = {};
+	const hasTrailer = fields['content-length'] === undefined;
 	for (const name of Object.keys(fields)) {
 		const value = fields[name];
 		if (value !== undefined && !hopByHopFields.has(name) && !name.startsWith(systemFieldPrefix) && !connectionNames.includes(name)) {
@@ -96,5 +98,9 @@
 		}
 	}
 
+	if (!hasTrailer) {
+		delete selected.trailer;
+	}
+
 	return selected;
 }
--- a/packages/transport/src/http-response/index.ts
+++ b/packages/transport/src/http-response/index.ts
@@ -17,6 +17,9 @@
 Writes one response to a caller. The head and the first chunk are held back until the
 current event has been handled or more data arrives, since most responses are
 complete by then and can be sent in one write.
+
+A response that can't be written, for example for a field that is not allowed, ends with
+its connection, and no error reaches the source of the response.
 */
 export class ResponseWriter {
 	readonly #response: ServerResponse;
@@ -27,9 +30,13 @@
 	#pendingChunk: Uint8Array | undefined;
 	/** True once a `drain` listener that resumes the source is attached. */
 	#hasDrainListener = false;
+	#hasFailed = false;
+	readonly #onError: (error: Error) => void;
 
-	constructor(response: ServerResponse) {
+	/** @param onError - Called once if the response can't be written, for the log. */
+	constructor(response: ServerResponse, onError: (error: Error) => void) {
 		this.#response = response;
+		this.#onError = onError;
 	}
 
 	/** Writes status and header fields, with the system's own fields in `extraFields`. */
@@ -42,6 +49,39 @@
 
 	/** Writes the head and first chunk if they are still pending. */
 	flush(): void {
+		this.#attempt(() => {
+			this.#flush();
+		});
+	}
+
+	/** Writes a chunk; pauses the source while the caller's connection is congested. */
+	writeChunk(chunk: Uint8Array): void {
+		if (this.#pendingHead !== undefined && this.#pendingChunk === undefined) {
+			this.#pendingChunk = chunk;
+			return;
+		}
+
+		this.#attempt(() => {
+			this.#flush();
+			this.#write(chunk);
+		});
+	}
+
+	/** Completes the response, with the trailers of the upstream and the system's own `extraTrailers`. */
+	end(trailers: HeaderFields, extraTrailers?: Readonly<Record<string, string>>): void {
+		this.#attempt(() => {
+			this.#end(Object.assign(selectResponseFields(trailers), extraTrailers));
+		});
+	}
+
+	/** Resets the caller's connection, so that the caller can't mistake the response for a complete one. */
+	abort(): void {
+		this.#pendingHead = undefined;
+		this.#pendingChunk = undefined;
+		abortResponse(this.#response);
+	}
+
+	#flush(): void {
 		const chunk = this.#pendingChunk;
 		this.#pendingChunk = undefined;
 		if (!this.#writePendingHead()) {
@@ -56,35 +96,30 @@
 		this.#write(chunk);
 	}
 
-	/** Writes a chunk; pauses the source while the caller's connection is congested. */
-	writeChunk(chunk: Uint8Array): void {
-		if (this.#pendingHead !== undefined && this.#pendingChunk === undefined) {
-			this.#pendingChunk = chunk;
-			return;
-		}
-
-		this.flush();
-		this.#write(chunk);
-	}
-
-	/** Completes the response, with the trailers of the upstream and the system's own `extraTrailers`. */
-	end(trailers: HeaderFields, extraTrailers?: Readonly<Record<string, string>>): void {
+	#end(trailers: Record<string, string | string[]>): void {
 		const chunk = this.#pendingChunk;
 		this.#pendingChunk = undefined;
 		this.#writePendingHead();
-		const selected = Object.assign(selectResponseFields(trailers), extraTrailers);
-		if (Object.keys(selected).length > 0) {
-			this.#response.addTrailers(selected);
+		if (Object.keys(trailers).length > 0) {
+			this.#response.addTrailers(trailers);
 		}
 
 		this.#response.end(chunk);
 	}
 
-	/** Resets the caller's connection, so that the caller can't mistake the response for a complete one. */
-	abort(): void {
-		this.#pendingHead = undefined;
-		this.#pendingChunk = undefined;
-		abortResponse(this.#response);
+	/** Writes a part of the response, unless an earlier part could not be written. */
+	#attempt(write: () => void): void {
+		if (this.#hasFailed) {
+			return;
+		}
+
+		try {
+			write();
+		} catch (error: unknown) {
+			this.#hasFailed = true;
+			this.abort();
+			this.#onError(error as Error);
+		}
 	}
 
 	/** Writes the head if it is pending; returns false if there was none. */
