--- a/packages/scenario/src/stand-in-upstream/index.ts
+++ b/packages/scenario/src/stand-in-upstream/index.ts
@@ -10,6 +10,7 @@
 - `bytes`: length of the padding in the answer
 - `fail=STATUS`: status of the answer
 - `break=1`: closes the connection after half of the answer
+- `endless=1`: a status line and header fields without end, until the caller closes
 - `call=PATH`: first calls another service through the egress listener of the node and
   adds its answer as `called`; if that call fails, the answer has status 503
 */
@@ -17,7 +18,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {FireflygladeError} from '@fireflyglade/model';
 import {request} from 'undici';
@@ -58,6 +59,7 @@
 const announceIntervalMilliseconds = 1000;
 const defaultAnnouncedSlots = 64;
 const lowestServerErrorStatus = 500;
+const endlessPieceFields = 10_000;
 
 function firstHeader(value: string | string[] | undefined): string | undefined {
 	return Array.isArray(value) ? value[0] : value;
@@ -209,6 +211,11 @@
 			await waitUnlessDisconnected(response, delay);
 		}
 
+		if (query.get('endless') === '1') {
+			await sendEndlessFields(message.socket);
+			throw new CallerGoneError('the caller closed the connection of an endless answer');
+		}
+
 		const called = await this.#callOtherService(message, query.get('call') ?? this.#options.calls?.get(url.pathname));
 		const answer = JSON.stringify({
 			run: run.run, service: this.#options.service, body, headers: message.headers, called: called?.answer, padding: 'x'.repeat(Number(query.get('bytes') ?? 0)),
@@ -291,6 +298,19 @@
 	response.off('close', abort);
 }
 
+/** Sends header fields as fast as the connection takes them, until it has closed. */
+async function sendEndlessFields(socket: Socket): Promise<void> {
+	const piece = 'y: b\r\n'.repeat(endlessPieceFields);
+	socket.write('HTTP/1.1 200 OK\r\n');
+	while (!socket.destroyed) {
+		await new Promise<void>(resolve => {
+			socket.write(piece, () => {
+				resolve();
+			});
+		});
+	}
+}
+
 function ignoreBrokenConnection(): void {
 	// The run is recorded as cancelled when its response closes.
 }
--- a/packages/transport/src/_lib/connection-byte-limit/index.ts
+++ b/packages/transport/src/_lib/connection-byte-limit/index.ts
@@ -32,6 +32,7 @@
 /** Longest piece that the parser is given at once. */
 const maximumPieceBytes = 16 * bytesInKibibyte;
 const lineFeed = 10;
+const endOfHead = '\r\n\r\n';
 
 /** Enforces the limits on one connection. */
 export class ConnectionByteLimit {
@@ -41,6 +42,8 @@
 	/** The last piece, as long as no byte of a body and no end of a response was found in it. */
 	#unclassifiedPiece: Uint8Array | undefined;
 	#nonBodyLines = 0;
+	/** True between the head of a final response and its end. */
+	#isInBody = false;
 
 	constructor(socket: Socket) {
 		this.#socket = socket;
@@ -52,15 +55,22 @@
 	@returns The piece; `null`, as `read` does, if there is none at present, or if the connection has exceeded the limit of lines and was closed.
 	*/
 	read(read: Socket['read']): unknown {
-		this.#countLines();
-		if (this.#socket.destroyed) {
-			return null;
-		}
-
+		this.#countLastPiece();
 		const {readableLength} = this.#socket;
 		const piece: unknown = readableLength > maximumPieceBytes ? read(maximumPieceBytes) : read();
-		this.#unclassifiedPiece = piece instanceof Uint8Array ? piece : undefined;
-		return piece;
+		if (!(piece instanceof Uint8Array)) {
+			return piece;
+		}
+
+		// A head with too many lines isn't parsed at all, as parsing it costs most of what it can do harm by.
+		this.#checkLines(this.#isInBody ? 0 : countLines(piece, findEndOfHead(piece)));
+		this.#unclassifiedPiece = piece;
+		return this.#socket.destroyed ? null : piece;
+	}
+
+	/** Records the head of a final response. */
+	recordResponseStart(): void {
+		this.#isInBody = true;
 	}
 
 	/** Raises the limit for bytes of a body that were delivered. */
@@ -71,6 +81,7 @@
 
 	/** Resets the limit at the end of a response; later bytes belong to the next one. */
 	recordResponseEnd(): void {
+		this.#isInBody = false;
 		this.#resetLines();
 		this.#maximumBytesRead = this.#socket.bytesRead + maximumNonBodyBytes;
 	}
@@ -87,20 +98,35 @@
 		this.#nonBodyLines = 0;
 	}
 
-	/** Counts the lines of the last piece if it was parsed without a byte of a body, and closes the connection if there are too many. */
-	#countLines(): void {
+	/** Counts the lines of the last piece if it was parsed without a byte of a body. */
+	#countLastPiece(): void {
 		const piece = this.#unclassifiedPiece;
 		this.#unclassifiedPiece = undefined;
-		if (piece === undefined) {
-			return;
-		}
-
-		for (let index = piece.indexOf(lineFeed); index !== -1; index = piece.indexOf(lineFeed, index + 1)) {
-			this.#nonBodyLines += 1;
+		if (piece !== undefined) {
+			this.#nonBodyLines += countLines(piece, piece.length);
+			this.#checkLines(0);
 		}
+	}
 
-		if (this.#nonBodyLines > maximumNonBodyLines && !this.#socket.destroyed) {
+	/** Closes the connection if there are too many lines, together with `furtherLines`. */
+	#checkLines(furtherLines: number): void {
+		if (this.#nonBodyLines + furtherLines > maximumNonBodyLines && !this.#socket.destroyed) {
 			this.#socket.destroy(new EndlessAnswerError(`the connection exceeded the limit of ${maximumNonBodyLines} lines that belong to no response body`));
 		}
 	}
 }
+
+function findEndOfHead(piece: Uint8Array): number {
+	const end = Buffer.from(piece.buffer, piece.byteOffset, piece.byteLength).indexOf(endOfHead);
+	return end === -1 ? piece.length : end;
+}
+
+/** Counts the lines that end before an offset, up to one more than the limit. */
+function countLines(piece: Uint8Array, end: number): number {
+	let lines = 0;
+	for (let index = piece.indexOf(lineFeed); index !== -1 && index < end && lines <= maximumNonBodyLines; index = piece.indexOf(lineFeed, index + 1)) {
+		lines += 1;
+	}
+
+	return lines;
+}
--- a/packages/transport/src/_lib/sending-connection.ts
+++ b/packages/transport/src/_lib/sending-connection.ts
@@ -69,6 +69,11 @@
 		});
 	}
 
+	/** Records the head of a final response. */
+	recordResponseStart(): void {
+		this.#byteLimit?.recordResponseStart();
+	}
+
 	/** Records bytes of a body that were delivered. */
 	recordBodyBytes(bytes: number): void {
 		this.#byteLimit?.recordBodyBytes(bytes);
--- a/packages/transport/src/http-sender/index.ts
+++ b/packages/transport/src/http-sender/index.ts
@@ -168,6 +168,10 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		if (status >= 200) {
+			this.#connection?.recordResponseStart();
+		}
+
 		if (this.#isDone || status < 200) {
 			return;
 		}
