Refuse the calls that wait for an upstream that has left

Cause: each announcement replaces the record of the upstream, and waiting calls were found by it. Change: they are found by its admission, which stays. Evidence: the new test of Gate fails without the change (no refusal).

--- a/packages/node/src/_lib/gate-exchange/index.ts
+++ b/packages/node/src/_lib/gate-exchange/index.ts
@@ -108,7 +108,8 @@
 
 	/** Refuses the request if it waits for the given upstream, which takes no new work. */
 	refuseIfWaiting(upstream: GateUpstream): void {
-		if (this.#upstream === upstream && this.cancelIfWaiting()) {
+		// An announcement replaces the upstream's record, but keeps its admission.
+		if (this.#upstream?.admission === upstream.admission && this.cancelIfWaiting()) {
 			this.#receiver.onProblem(drainingProblem, this.#createMetadata(this.#unusedRetries()));
 		}
 	}
--- a/packages/node/src/gate/test.ts
+++ b/packages/node/src/gate/test.ts
@@ -375,7 +375,13 @@
 });
 
 describe('Gate', () => {
-	it('refuses a call for a service that its upstream does not serve, because an address may have been reassigned', () => {
+	const announced = {
+		service: createServiceName('stock'), address: '127.0.0.1:1', slots: 1, connections: 1,
+	};
+
+	type Refusal = {readonly problem: Problem; readonly metadata: GateMetadata};
+
+	const createGate = (): Gate => {
 		const gate = new Gate({
 			node: createNodeId('node-1'),
 			clock: new SystemClock(),
@@ -394,24 +400,23 @@
 				},
 				renderMetrics: async () => '',
 			},
-			createAdmission: options => new GateAdmission(options),
+			createAdmission: options => new GateAdmission({...options, isCold: false}),
 		});
-		gate.setUpstream({
-			service: createServiceName('stock'), address: '127.0.0.1:1', slots: 1, connections: 1,
-		});
-		const problems: Problem[] = [];
-		const metadataOfAnswers: GateMetadata[] = [];
+		gate.setUpstream(announced);
+		return gate;
+	};
+
+	/** Offers a call to the gate; its refusals are added to `refusals`. */
+	const offer = (gate: Gate, requestId: string, service: string, refusals: Refusal[]): void => {
 		const doNothing = (): void => {
 			// The call is refused before any response.
 		};
 
-		gate.recordQueueingDelay({service: createServiceName('yard'), waitMilliseconds: 70});
-
 		gate.run({
 			context: {
-				requestId: 'a.1.1' as RequestId, rootId: 'a.1' as RequestId, priority: 0, deadline: Number.MAX_SAFE_INTEGER, remainingAttempts: 1, depth: 0, traceparent: '',
+				requestId: requestId as RequestId, rootId: 'a.1' as RequestId, priority: 0, deadline: Number.MAX_SAFE_INTEGER, remainingAttempts: 1, depth: 0, traceparent: '',
 			},
-			service: createServiceName('orders'),
+			service: createServiceName(service),
 			idempotent: true,
 			method: 'GET',
 			path: '/',
@@ -424,13 +429,31 @@
 			onEnd: doNothing,
 			onBroken: doNothing,
 			onProblem(problem, metadata) {
-				problems.push(problem);
-				metadataOfAnswers.push(metadata);
+				refusals.push({problem, metadata});
 			},
 		});
-		expect(problems.map(({code, outcome}) => ({code, outcome}))).to.deep.equal([{code: 'no-upstream', outcome: 'not-run'}]);
+	};
+
+	it('refuses a call for a service that its upstream does not serve, because an address may have been reassigned', () => {
+		const gate = createGate();
+		const refusals: Refusal[] = [];
+		gate.recordQueueingDelay({service: createServiceName('yard'), waitMilliseconds: 70});
+		offer(gate, 'a.1.1', 'orders', refusals);
+		expect(refusals.map(({problem: {code, outcome}}) => ({code, outcome}))).to.deep.equal([{code: 'no-upstream', outcome: 'not-run'}]);
 		// Every answer contains the longest queueing delay that was reported for calls of the upstream.
-		expect(metadataOfAnswers.map(metadata => metadata.crowding)).to.deep.equal([{service: 'yard', waitMilliseconds: 70}]);
+		expect(refusals.map(({metadata}) => metadata.crowding)).to.deep.equal([{service: 'yard', waitMilliseconds: 70}]);
 		expect(gate.size).to.equal(0);
 	});
+
+	// Guards against: a call goes on waiting for an upstream that has left, as the upstream announced itself in between.
+	it('refuses the calls that wait when its upstream leaves, also those that came before its last announcement', async () => {
+		const gate = createGate();
+		const refusals: Refusal[] = [];
+		offer(gate, 'a.1.1', 'stock', refusals);
+		offer(gate, 'a.2.1', 'stock', refusals);
+		gate.setUpstream({...announced, coldMilliseconds: 0});
+		gate.removeUpstream();
+		expect(refusals.map(({problem: {code, outcome}}) => ({code, outcome}))).to.deep.equal([{code: 'draining', outcome: 'not-run'}]);
+		await gate.close();
+	});
 });
