--- a/packages/transport/src/_lib/connection-byte-limit/index.ts
+++ b/packages/transport/src/_lib/connection-byte-limit/index.ts
@@ -32,6 +32,8 @@
 /** Longest piece that the parser is given at once. */
 const maximumPieceBytes = 16 * bytesInKibibyte;
 const lineFeed = 10;
+/** Length of a line without text: its line end. */
+const shortestLineBytes = 2;
 const endOfHead = '\r\n\r\n';
 
 /** Enforces the limits on one connection. */
@@ -62,8 +64,7 @@
 			return piece;
 		}
 
-		// A head with too many lines isn't parsed at all, as parsing it costs most of what it can do harm by.
-		this.#checkLines(this.#isInBody ? 0 : countLines(piece, findEndOfHead(piece)));
+		this.#checkHead(piece);
 		this.#unclassifiedPiece = piece;
 		return this.#socket.destroyed ? null : piece;
 	}
@@ -98,6 +99,14 @@
 		this.#nonBodyLines = 0;
 	}
 
+	/** Closes the connection if the head in a piece has too many lines. Such a head isn't parsed at all, as parsing it costs most of what it can do harm by. */
+	#checkHead(piece: Uint8Array): void {
+		const mayHaveTooMany = this.#nonBodyLines + (piece.length / shortestLineBytes) > maximumNonBodyLines;
+		if (!this.#isInBody && mayHaveTooMany) {
+			this.#checkLines(countLines(piece, findEndOfHead(piece)));
+		}
+	}
+
 	/** Counts the lines of the last piece if it was parsed without a byte of a body. */
 	#countLastPiece(): void {
 		const piece = this.#unclassifiedPiece;
