Show that clients which stop short of the end exhaust processes

Cause: the tests of misbehaving clients had one small crowd that sends without end, at the callers' listener alone. Change: crowds that stop short of the end and stay open, large heads, whole and unfinished bodies with idempotency keys, messages of unauthenticated peers, bodies far over the limit at the listeners of operators and upstreams, large answers, and descriptors; the check waits until the process has taken in what the system had buffered. The client moves out of _lib, as the platform uses it.

--- a/packages/scenario/src/daemon-fleet/index.ts
+++ b/packages/scenario/src/daemon-fleet/index.ts
@@ -28,6 +28,8 @@
 	readonly limits?: Partial<CallerLimits>;
 	/** Options of the Node.js runtime of the node's process. */
 	readonly runtimeOptions?: readonly string[];
+	/** Limit of open descriptors of the node's process; that of the calling process if absent. */
+	readonly maximumDescriptors?: number;
 };
 
 /** Options of a fleet of daemons. */
@@ -45,6 +47,12 @@
 	readonly daemon: DaemonProcess;
 	/** Base URL for callers. */
 	readonly callersUrl: string;
+	/** Base URL for announcements. */
+	readonly announceUrl: string;
+	/** Base URL of the gate for other nodes. */
+	readonly gateUrl: string;
+	/** URL with host and port of the listener for remote calls. */
+	readonly rpcUrl: string;
 	readonly upstream: StandInUpstream;
 };
 
@@ -54,6 +62,8 @@
 	readonly daemon: DaemonProcess;
 	/** Base URL for operators. */
 	readonly operatorUrl: string;
+	/** URL with host and port of the listener for remote calls. */
+	readonly rpcUrl: string;
 };
 
 /** The answer to a statement. */
@@ -249,7 +259,9 @@
 				name, program: getProgramPath('control'), settingsFile, readyUrl: `${operatorUrl}/readyz`,
 			});
 			daemon.start();
-			this.control.push({name, daemon, operatorUrl});
+			this.control.push({
+				name, daemon, operatorUrl, rpcUrl: `http://${members[index]!.rpcAddress}`,
+			});
 		}
 
 		await Promise.all(this.control.map(async ({daemon}) => daemon.waitUntilReady()));
@@ -286,6 +298,7 @@
 			settingsFile,
 			readyUrl: `http://${statusAddress}/readyz`,
 			...(plan.runtimeOptions === undefined ? {} : {runtimeOptions: plan.runtimeOptions}),
+			...(plan.maximumDescriptors === undefined ? {} : {maximumDescriptors: plan.maximumDescriptors}),
 		});
 		daemon.start();
 		const upstream = new StandInUpstream({
@@ -293,7 +306,13 @@
 		});
 		await upstream.start();
 		this.nodes.push({
-			plan, daemon, callersUrl: `http://${callersAddress}`, upstream,
+			plan,
+			daemon,
+			callersUrl: `http://${callersAddress}`,
+			announceUrl: `http://${announceAddress}`,
+			gateUrl: `http://${gateAddress}`,
+			rpcUrl: `http://${rpcAddress}`,
+			upstream,
 		});
 	}
 
--- a/packages/scenario/src/daemon-process/index.ts
+++ b/packages/scenario/src/daemon-process/index.ts
@@ -5,6 +5,7 @@
 
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
+import {readdir, readFile} from 'node:fs/promises';
 import {setTimeout as wait} from 'node:timers/promises';
 import {request} from 'undici';
 import {FireflygladeError} from '@fireflyglade/model';
@@ -27,10 +28,23 @@
 	readonly readyUrl: string;
 	/** Options of the Node.js runtime, for example the size of its heap. */
 	readonly runtimeOptions?: readonly string[];
+	/** Variables of the environment in addition to those of the calling process. */
+	readonly environment?: Readonly<Record<string, string>>;
+	/** Limit of open descriptors; that of the calling process if absent. */
+	readonly maximumDescriptors?: number;
+};
+
+/** What a process has used of its machine. */
+export type ProcessUsage = {
+	/** Peak of the resident memory. */
+	readonly peakMebibytes: number;
+	readonly openDescriptors: number;
 };
 
 const readyTimeoutMilliseconds = 30_000;
 const pollIntervalMilliseconds = 20;
+const kibibytesInMebibyte = 1024;
+const settledMilliseconds = 1000;
 
 /** A daemon in a child process. */
 export class DaemonProcess {
@@ -51,10 +65,43 @@
 		return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
 	}
 
+	/** Reads what the process has used, from the operating system; nothing if it has ended. */
+	async readUsage(): Promise<ProcessUsage> {
+		const folder = `/proc/${this.processId!}`;
+		try {
+			const status = await readFile(`${folder}/status`, 'utf8');
+			const descriptors = await readdir(`${folder}/fd`);
+			return {
+				peakMebibytes: Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? 0) / kibibytesInMebibyte,
+				openDescriptors: descriptors.length,
+			};
+		} catch {
+			// The process has ended; `isRunning` tells.
+			return {peakMebibytes: 0, openDescriptors: 0};
+		}
+	}
+
+	/** Waits until the peak of the memory hasn't grown for a second, or the process has ended, so that what the system had buffered for the process was taken in. */
+	async waitUntilSettled(): Promise<void> {
+		let peakMebibytes = 0;
+		let unchangedSince = performance.now();
+		while (this.isRunning && performance.now() - unchangedSince < settledMilliseconds) {
+			const usage = await this.readUsage();
+			if (usage.peakMebibytes > peakMebibytes) {
+				peakMebibytes = usage.peakMebibytes;
+				unchangedSince = performance.now();
+			}
+
+			await wait(pollIntervalMilliseconds);
+		}
+	}
+
 	/** Starts the process. */
 	start(): void {
-		const {program, settingsFile, runtimeOptions = []} = this.#options;
-		this.#child = spawn(process.execPath, [...runtimeOptions, program, settingsFile], {stdio: ['ignore', 'ignore', 'inherit']});
+		const {program, settingsFile, runtimeOptions = [], environment, maximumDescriptors} = this.#options;
+		const command = [process.execPath, ...runtimeOptions, program, settingsFile];
+		const [file, ...options] = maximumDescriptors === undefined ? command : ['/bin/sh', '-c', `ulimit -n ${maximumDescriptors}; exec "$0" "$@"`, ...command];
+		this.#child = spawn(file!, options, {stdio: ['ignore', 'ignore', 'inherit'], env: {...process.env, ...environment}});
 	}
 
 	/**
--- a/packages/scenario/src/misbehaving-clients/trial.ts
+++ b/packages/scenario/src/misbehaving-clients/trial.ts
@@ -6,14 +6,13 @@
 */
 
 import {mkdtemp, readFile, rm} from 'node:fs/promises';
-import type {Socket} from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {request} from 'undici';
-import {misbehave, type Behaviour} from '../_lib/misbehave/index.js';
 import {DaemonFleet, type NodeDaemon} from '../daemon-fleet/index.js';
+import {misbehave, type Behaviour, type MisbehavingConnection} from '../misbehave/index.js';
 
 const extent = {bytes: 4 * 1024 * 1024, milliseconds: 6000};
 const requestsPerWrite = 200;
@@ -83,7 +82,7 @@
 		],
 	});
 	const node = fleet.nodes[0]!;
-	const held: Socket[] = [];
+	const held: MisbehavingConnection[] = [];
 	try {
 		await fleet.configureDomains();
 		const key = await fleet.createTeam('crews', 1_000_000, 1_000_000);
@@ -107,15 +106,15 @@
 		}
 
 		const peak = await readPeakMebibytes(node);
-		for (const socket of held) {
-			socket.destroy();
+		for (const connection of held) {
+			connection.close();
 		}
 
 		const isServed = await waitUntilServed(node, key);
 		return `lives, peak ${peak} MiB; ${connections} connections; during the attack ${JSON.stringify(duringStatuses)}; served afterwards: ${isServed}`;
 	} finally {
-		for (const socket of held) {
-			socket.destroy();
+		for (const connection of held) {
+			connection.close();
 		}
 
 		await fleet.stop();
