Count what requests hold in one account of the process

What callers saw: 240 clients that send all but the end of a body of 1 MiB with an idempotency key take a node to 370 MiB, whole ones to 580 MiB; a VM has 250 MB. Cause: a body counted as 128 KiB at most, however much of it was read, and the limit didn't follow from the memory of the process. Change: MemoryBudget, one for all listeners of a process, sized from settings or from what the system tells. When memory runs short, long bodies stop reading, then stalled ones give way, and beyond the limit the share that holds most and has moved least is evicted: with status 503 not run if nothing was sent to a target, else by closing.

--- a/packages/node/src/_lib/call-server/index.ts
+++ b/packages/node/src/_lib/call-server/index.ts
@@ -12,7 +12,7 @@
 	type Configuration, type JobKey, type Problem, type ProblemCode, type RequestId, type Route, type TeamName,
 } from '@fireflyglade/model';
 import {
-	BodyBrokenError, selectRequestFields, writeContinue, writeProblem,
+	BodyBrokenError, findRequestMemory, overloadedProblem, selectRequestFields, writeContinue, writeProblem,
 	type RequestBody,
 } from '@fireflyglade/transport';
 import type {ChargeOutcome} from '@fireflyglade/rates';
@@ -255,9 +255,15 @@
 			active.response.shouldKeepAlive = false;
 			active.answer.onProblem({code: 'deadline-exceeded', outcome: 'not-run', detail: 'the body did not come before the deadline'});
 		});
+		const memory = findRequestMemory(active.response);
+		memory?.setRefusal(() => {
+			active.response.shouldKeepAlive = false;
+			active.answer.onProblem(overloadedProblem);
+		});
 		try {
 			const body = await this.#acceptBody(active, framing);
 			timer.cancel();
+			memory?.setRefusal(undefined);
 			if (body.kind === 'refused') {
 				active.answer.onProblem(body.problem);
 				return;
@@ -307,6 +313,7 @@
 	async #readBody(active: ActiveRequest, framing: BodyFraming): Promise<RequestBody> {
 		return createRequestBody(active.request, framing, {
 			maximumBytes: this.#limits.maximumBodyBytes,
+			memory: findRequestMemory(active.response),
 			...(active.job === undefined ? {} : {maximumBufferedBytes: maximumJobBodyBytes}),
 		});
 	}
--- a/packages/node/src/_lib/request-body/index.ts
+++ b/packages/node/src/_lib/request-body/index.ts
@@ -7,7 +7,7 @@
 import {bytesInKibibyte} from '@fireflyglade/model';
 import {
 	BufferedBody, readWholeBody, StreamedBody,
-	type RequestBody,
+	type RequestBody, type RequestMemory,
 } from '@fireflyglade/transport';
 
 /** Bodies up to this length are buffered before an attempt is sent. */
@@ -41,7 +41,7 @@
 	}
 
 	if (framing.kind === 'length' && framing.length <= (options.maximumBufferedBytes ?? maximumBufferedBodyBytes)) {
-		return new BufferedBody(await readWholeBody(request, framing.length));
+		return new BufferedBody(await readWholeBody(request, {length: framing.length, memory: options.memory}));
 	}
 
 	return new StreamedBody(request, {
@@ -49,6 +49,7 @@
 		maximumReplayBytes,
 		maximumBytes: options.maximumBytes,
 		isWhole: () => request.complete,
+		memory: options.memory,
 	});
 }
 
@@ -57,4 +58,6 @@
 	readonly maximumBytes: number;
 	/** Bodies up to this length are buffered. Defaults to `maximumBufferedBodyBytes`. */
 	readonly maximumBufferedBytes?: number;
+	/** Counts the memory of the body; not counted if absent. */
+	readonly memory?: RequestMemory | undefined;
 };
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -10,7 +10,7 @@
 } from '@fireflyglade/model';
 import {EntryThrottle, RootLoadShedder} from '@fireflyglade/routing';
 import {
-	HttpListener,
+	createProcessResources, HttpListener,
 	type FrameListener, type OutcomeResponse, type OutcomeRequest,
 } from '@fireflyglade/transport';
 import {AnnounceListener} from '../announce-listener/index.js';
@@ -167,22 +167,23 @@
 		const explainer = new RequestExplainer({
 			...dependencies, ...attempts, limits: settings.limits, isDraining: () => this.#isDraining,
 		});
+		const resources = dependencies.resources ?? createProcessResources(settings.resources);
 		this.#listeners = {
 			callers: new HttpListener((request, response) => {
 				this.#callers.handle(request, response);
-			}, settings.limits),
+			}, {...settings.limits, resources}),
 			gate: new HttpListener((request, response) => {
 				gateHandler.handle(request, response);
-			}, {...internalListenerLimits, ...(credentials.kind === 'mutual-tls' ? {mutualTls: credentials} : {})}),
+			}, {...internalListenerLimits, resources, ...(credentials.kind === 'mutual-tls' ? {mutualTls: credentials} : {})}),
 			egress: new HttpListener((request, response) => {
 				this.#egress.handle(request, response);
-			}, internalListenerLimits),
-			announce: new HttpListener(this.#announcements.listener, statusListenerLimits),
+			}, {...internalListenerLimits, resources}),
+			announce: new HttpListener(this.#announcements.listener, {...statusListenerLimits, resources}),
 			status: new HttpListener(createStatusListener({
 				isReady: () => this.isReady(),
 				renderMetrics: async () => observer.renderMetrics(),
 				explain: query => explainer.explain(query),
-			}), statusListenerLimits),
+			}), {...statusListenerLimits, resources}),
 		};
 	}
 
--- a/packages/node/src/dependencies.ts
+++ b/packages/node/src/dependencies.ts
@@ -11,7 +11,9 @@
 import type {RetryBudgets, Routing} from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import type {ClaimOutcome, ClaimRequest, ClaimResult} from '@fireflyglade/state';
-import type {FleetCredentials, OutcomeResponse, OutcomeRequest} from '@fireflyglade/transport';
+import type {
+	FleetCredentials, OutcomeResponse, OutcomeRequest, ProcessResources,
+} from '@fireflyglade/transport';
 import type {CallInterface} from './call-interface/index.js';
 import type {Fleet} from './types.js';
 
@@ -102,6 +104,8 @@
 /** All dependencies of a node. */
 export type NodeDependencies = {
 	readonly settings: NodeSettings;
+	/** What the listeners of the process share; created from the settings if absent. */
+	readonly resources?: ProcessResources;
 	/** Credentials with which nodes authenticate at each other's gates. */
 	readonly credentials: FleetCredentials;
 	/** Bound address of the node's RPC listener, at which other nodes query outcomes. */
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -10,7 +10,7 @@
 } from '@fireflyglade/model';
 import type {Fields} from '@fireflyglade/observability';
 import {
-	ResponseWriter, readWholeBody, selectRequestFields, writeProblem,
+	findRequestMemory, ResponseWriter, readWholeBody, selectRequestFields, writeProblem,
 	type ResponseFlow, type ResponseHead, type FleetCredentials, type HeaderFields, type OutgoingBody,
 } from '@fireflyglade/transport';
 import type {Gate} from '../gate/index.js';
@@ -80,7 +80,7 @@
 	async #runWhole(call: PeerCall, request: IncomingMessage, response: ServerResponse, length: number): Promise<void> {
 		let body: Uint8Array;
 		try {
-			body = await readWholeBody(request, length);
+			body = await readWholeBody(request, {length, memory: findRequestMemory(response)});
 		} catch {
 			// The entry node has disconnected; it queries the outcome of the request over RPC.
 			response.destroy();
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -18,7 +18,7 @@
 import type {NodeSettings} from '@fireflyglade/settings';
 import {
 	createRpcClient, createRpcServer, outcomeMethod,
-	type FleetCredentials,
+	type FleetCredentials, type ProcessResources,
 } from '@fireflyglade/transport';
 import type {CallInterface} from '../call-interface/index.js';
 import {KeyFreshness} from '../_lib/key-freshness/index.js';
@@ -64,6 +64,8 @@
 	readonly rateTolerance?: RateTolerance;
 	/** Retry budget of all nodes together for each service. */
 	readonly fleetRetryBudget?: FleetRetryBudget;
+	/** What the listeners of the process share; created from the settings if absent. */
+	readonly resources?: ProcessResources;
 };
 
 /** Number of retries that all nodes together may send to one service within a window: a share of the first attempts plus a fixed number. */
@@ -123,6 +125,7 @@
 	});
 	const node = await createNode({
 		settings,
+		...(options.resources === undefined ? {} : {resources: options.resources}),
 		credentials,
 		rpcAddress,
 		fleet,
--- a/packages/settings/src/_lib/schemas.ts
+++ b/packages/settings/src/_lib/schemas.ts
@@ -10,7 +10,9 @@
 } from '@fireflyglade/model';
 import {z} from 'zod';
 import {defaultRequestBacklogLimits} from '../default-request-backlog-limits/index.js';
-import type {CallerLimits, FleetSecuritySettings, LogSettings} from '../types.js';
+import type {
+	CallerLimits, FleetSecuritySettings, LogSettings, ResourceSettings,
+} from '../types.js';
 
 const highestPort = 65_535;
 const defaultShutdownTimeoutMilliseconds = 30_000;
@@ -62,6 +64,11 @@
 
 export const shutdownTimeoutSchema = positiveIntegerSchema.default(defaultShutdownTimeoutMilliseconds);
 
+export const resourcesSchema: z.ZodType<ResourceSettings> = z.strictObject({
+	memoryBytes: positiveIntegerSchema.exactOptional(),
+	maximumDescriptors: positiveIntegerSchema.exactOptional(),
+});
+
 export const limitsSchema: z.ZodType<CallerLimits> = z.strictObject({
 	maximumHeaderBytes: positiveIntegerSchema.default(16 * bytesInKibibyte),
 	maximumBodyBytes: positiveIntegerSchema.default(16 * bytesInMebibyte),
--- a/packages/settings/src/load-control-settings/index.ts
+++ b/packages/settings/src/load-control-settings/index.ts
@@ -5,7 +5,7 @@
 import {z} from 'zod';
 import {readSettingsFile} from '../_lib/read-settings-file.js';
 import {
-	addressSchema, failureDomainSchema, fileSchema, logSchema, memberIdSchema, securitySchema, shutdownTimeoutSchema,
+	addressSchema, failureDomainSchema, fileSchema, logSchema, memberIdSchema, resourcesSchema, securitySchema, shutdownTimeoutSchema,
 } from '../_lib/schemas.js';
 import {parseSettings} from '../parse-settings/index.js';
 import type {ControlSettings} from '../types.js';
@@ -27,6 +27,7 @@
 	members: z.array(memberSchema).min(1, 'at least one member'),
 	join: z.boolean().default(false),
 	operators: z.array(operatorSchema).min(1, 'at least one operator'),
+	resources: resourcesSchema.exactOptional(),
 	security: securitySchema,
 	shutdownTimeoutMilliseconds: shutdownTimeoutSchema,
 	log: logSchema,
--- a/packages/settings/src/load-node-settings/index.ts
+++ b/packages/settings/src/load-node-settings/index.ts
@@ -5,7 +5,7 @@
 import {z} from 'zod';
 import {readSettingsFile} from '../_lib/read-settings-file.js';
 import {
-	addressSchema, failureDomainSchema, fileSchema, limitsSchema, logSchema, nodeIdSchema, securitySchema, shutdownTimeoutSchema,
+	addressSchema, failureDomainSchema, fileSchema, limitsSchema, logSchema, nodeIdSchema, resourcesSchema, securitySchema, shutdownTimeoutSchema,
 } from '../_lib/schemas.js';
 import {parseSettings} from '../parse-settings/index.js';
 import type {NodeSettings} from '../types.js';
@@ -23,6 +23,7 @@
 	seeds: z.array(addressSchema),
 	security: securitySchema,
 	limits: limitsSchema,
+	resources: resourcesSchema.exactOptional(),
 	shutdownTimeoutMilliseconds: shutdownTimeoutSchema,
 	leaveNoticeMilliseconds: z.int().min(0, 'a whole number from 0 on').optional(),
 	log: logSchema,
--- a/packages/settings/src/types.ts
+++ b/packages/settings/src/types.ts
@@ -15,6 +15,14 @@
 	| {readonly kind: 'token'; readonly tokenFile: string}
 	| {readonly kind: 'mutual-tls'; readonly authorityFile: string; readonly certificateFile: string; readonly privateKeyFile: string};
 
+/** What a process may use of its machine. The system is asked for what is absent. */
+export type ResourceSettings = {
+	/** Memory of the process in bytes. */
+	readonly memoryBytes?: number;
+	/** Descriptors that the process may have open. */
+	readonly maximumDescriptors?: number;
+};
+
 /** Limits for what callers may have read and unanswered at a listener. */
 export type RequestBacklogLimits = {
 	/** Requests of one connection that run at a time; while as many are unanswered, the connection is not read any further. */
@@ -59,6 +67,7 @@
 	readonly seeds: readonly string[];
 	readonly security: FleetSecuritySettings;
 	readonly limits: CallerLimits;
+	readonly resources?: ResourceSettings;
 	/** Milliseconds that running requests have to complete during a graceful shutdown. */
 	readonly shutdownTimeoutMilliseconds: number;
 	/** Milliseconds for which a stopping node still serves requests, so that callers and peers can switch to other nodes. The default is one second; at most half of the shutdown timeout is used. */
@@ -94,6 +103,7 @@
 	/** True if the replicated log already exists and this process waits until it is added as a member. */
 	readonly join: boolean;
 	readonly operators: readonly OperatorTokenSettings[];
+	readonly resources?: ResourceSettings;
 	readonly security: FleetSecuritySettings;
 	readonly shutdownTimeoutMilliseconds: number;
 	readonly log: LogSettings;
--- a/packages/transport/src/_lib/request-backlog/index.ts
+++ b/packages/transport/src/_lib/request-backlog/index.ts
@@ -22,7 +22,9 @@
 import type {Socket} from 'node:net';
 import {bytesInKibibyte} from '@fireflyglade/model';
 import {defaultRequestBacklogLimits, type RequestBacklogLimits} from '@fireflyglade/settings';
+import type {MemoryBudget, MemoryShare} from '../../memory-budget/index.js';
 import {gatherSmallChunks} from '../gather-small-chunks/index.js';
+import {RequestMemory} from '../request-memory/index.js';
 
 /** What becomes of a request: it runs, waits for the answers to earlier ones, is refused, or ends with its connection, which has been closed. */
 export type BacklogDecision = 'run' | 'wait' | 'refuse' | 'closed';
@@ -36,6 +38,9 @@
 /** Memory that the body of one request takes at most: the start that is kept for another attempt, and one read beyond it. Longer bodies pass through. */
 const maximumBytesPerBody = 128 * bytesInKibibyte;
 
+/** Longer bodies are refused while memory runs short. */
+const ordinaryBodyBytes = 64 * bytesInKibibyte;
+
 /** Share of the limits of all connections together from which no connection is left to the server. */
 const pressureShare = 0.25;
 
@@ -48,16 +53,26 @@
 	bodyBytes = 0;
 	/** Bytes that wait on connections that are not read. */
 	waitingBytes = 0;
+	/** The memory of the process, which other listeners share. */
+	readonly memory: MemoryBudget;
 	/** Connections that are left to the server. */
 	readonly #leftToServer = new Set<ConnectionBacklog>();
 
-	constructor(limits: Partial<RequestBacklogLimits>) {
+	constructor(limits: Partial<RequestBacklogLimits>, memory: MemoryBudget) {
 		this.limits = {...defaultRequestBacklogLimits, ...limits};
+		this.memory = memory;
 	}
 
 	/** True while no request may be read behind an unanswered one of the same connection. */
 	get isFull(): boolean {
-		return this.requests >= this.limits.maximumUnansweredRequests || this.bodyBytes >= this.limits.maximumUnansweredBodyBytes;
+		return this.requests >= this.limits.maximumUnansweredRequests || this.bodyBytes >= this.limits.maximumUnansweredBodyBytes || this.memory.isTight;
+	}
+
+	/** Returns true if there is room for a body, for which a connection that has stalled is closed if need be. */
+	makeRoomForBody(length: number): boolean {
+		const bodyBytes = Math.min(length, maximumBytesPerBody);
+		const isShort = this.bodyBytes + bodyBytes > this.limits.maximumUnansweredBodyBytes || (length > ordinaryBodyBytes && this.memory.isTight);
+		return !isShort || this.memory.evictStalled();
 	}
 
 	/** Leaves a connection to the server, unless there is pressure. */
@@ -74,7 +89,8 @@
 	/** Has all connections read in pieces if there is pressure. */
 	relievePressure(): void {
 		const {maximumUnansweredRequests, maximumUnansweredBodyBytes} = this.limits;
-		if (this.requests < maximumUnansweredRequests * pressureShare && this.bodyBytes < maximumUnansweredBodyBytes * pressureShare) {
+		const {heldBytes, maximumBytes} = this.memory;
+		if (this.requests < maximumUnansweredRequests * pressureShare && this.bodyBytes < maximumUnansweredBodyBytes * pressureShare && heldBytes < maximumBytes * pressureShare) {
 			return;
 		}
 
@@ -90,15 +106,32 @@
 	readonly start: number;
 	/** Bytes that its body may occupy. */
 	readonly bodyBytes: number;
+	readonly memory: RequestMemory;
+};
+
+/** What a connection does with its requests beside counting them. */
+export type ConnectionHandlers = {
+	/** Called for each request that has waited and may run now. */
+	readonly run: RequestListener;
+	/** Called if the connection has to give up its memory before a request of it is complete. */
+	readonly refuse: () => void;
 };
 
+const backlogs = new WeakMap<Socket, ConnectionBacklog>();
+
+/** Returns the memory of the request that a response answers; undefined if the request isn't one of an `HttpListener`, or is answered. */
+export function findRequestMemory(response: ServerResponse): RequestMemory | undefined {
+	return backlogs.get(response.req.socket)?.getMemory(response);
+}
+
 /** Bounds the unanswered requests of one connection. */
 export class ConnectionBacklog {
 	readonly #socket: Socket;
 	readonly #total: RequestBacklog;
 	/** The HTTP server's own listener, which gives bytes to the parser; set once the caller uses pipelining. */
 	#parse: ((piece: Uint8Array) => void) | undefined;
-	readonly #run: RequestListener;
+	readonly #handlers: ConnectionHandlers;
+	readonly #memory: MemoryShare;
 	readonly #unanswered = new Map<ServerResponse, UnansweredRequest>();
 	/** Requests that were parsed and have not been started. */
 	readonly #waiting: Array<{readonly request: IncomingMessage; readonly response: ServerResponse}> = [];
@@ -113,14 +146,18 @@
 	#isWaitingForAnswers = false;
 	#isDiscarding = false;
 
-	/** @param run - Called for each request that has waited and may run now. */
-	constructor(socket: Socket, total: RequestBacklog, run: RequestListener) {
+	constructor(socket: Socket, total: RequestBacklog, handlers: ConnectionHandlers) {
 		this.#socket = socket;
 		this.#total = total;
-		this.#run = run;
+		this.#handlers = handlers;
+		this.#memory = total.memory.open(() => {
+			this.#giveUp();
+		});
+		backlogs.set(socket, this);
 		total.leaveToServer(this);
 		socket.once('close', () => {
 			total.forget(this);
+			this.#memory.close();
 			this.#waiting.length = 0;
 			this.#setWaitingBytes(0);
 		});
@@ -131,10 +168,15 @@
 		return this.#unanswered.keys();
 	}
 
+	/** Returns the memory of an unanswered request. */
+	getMemory(response: ServerResponse): RequestMemory | undefined {
+		return this.#unanswered.get(response)?.memory;
+	}
+
 	/** Records a request and decides what becomes of it. */
 	add(request: IncomingMessage, response: ServerResponse): BacklogDecision {
 		const total = this.#total;
-		const {maximumPipelinedRequests, maximumUnansweredBodyBytes} = total.limits;
+		const {maximumPipelinedRequests} = total.limits;
 		const {size} = this.#unanswered;
 		if (size > 0) {
 			this.readInPieces();
@@ -147,8 +189,8 @@
 
 		const length = getBodyLength(request);
 		const bodyBytes = Math.min(length, maximumBytesPerBody);
-		const hasRoom = bodyBytes === 0 || total.bodyBytes + bodyBytes <= maximumUnansweredBodyBytes;
-		this.#unanswered.set(response, {start: this.#parsedBytes, bodyBytes});
+		const hasRoom = bodyBytes === 0 || total.makeRoomForBody(length);
+		this.#unanswered.set(response, {start: this.#parsedBytes, bodyBytes, memory: new RequestMemory(this.#memory, total.memory)});
 		this.#last = request;
 		this.#remainingBodyBytes = 0;
 		if (Number.isFinite(length)) {
@@ -183,9 +225,10 @@
 		this.#unanswered.delete(response);
 		this.#total.requests -= 1;
 		this.#total.bodyBytes -= answered.bodyBytes;
+		answered.memory.release();
 		const next = this.#waiting.shift();
 		if (next !== undefined) {
-			this.#run(next.request, next.response);
+			this.#handlers.run(next.request, next.response);
 			return;
 		}
 
@@ -224,6 +267,19 @@
 		});
 	}
 
+	/** Gives up the memory of the connection: refuses its requests if none of them was sent to a target, or closes it. */
+	#giveUp(): void {
+		const unanswered = [...this.#unanswered.values()];
+		if (unanswered.length === 0) {
+			this.#handlers.refuse();
+			return;
+		}
+
+		if (!unanswered.every(({memory}) => memory.refuse())) {
+			this.#close();
+		}
+	}
+
 	/** Closes the connection, and stops the parser within what it has been given, since what it parses stays in memory until the event of the close. */
 	#close(): void {
 		this.#socket.destroy();
--- /dev/null
+++ b/packages/transport/src/_lib/request-memory/index.ts
@@ -0,0 +1,53 @@
+/**
+Counts the memory that one request holds until it is answered.
+*/
+
+import {bytesInKibibyte} from '@fireflyglade/model';
+import type {MemoryBudget, MemoryShare} from '../../memory-budget/index.js';
+
+/** Bytes that a request may hold although memory runs short, so that ordinary requests go on. */
+const ordinaryBytes = 64 * bytesInKibibyte;
+
+/** The memory that one request holds. */
+export class RequestMemory {
+	readonly #share: MemoryShare;
+	readonly #budget: MemoryBudget;
+	#bytes = 0;
+	#refuse: (() => void) | undefined;
+
+	constructor(share: MemoryShare, budget: MemoryBudget) {
+		this.#share = share;
+		this.#budget = budget;
+	}
+
+	/** Counts bytes that the request holds from now on. Returns false if no more of its body should be read until `whenRelieved` calls back. */
+	hold(bytes: number): boolean {
+		this.#bytes += bytes;
+		this.#share.add(bytes);
+		return this.#bytes <= ordinaryBytes || !this.#budget.isTight;
+	}
+
+	/** Calls back once memory doesn't run short any more. Returns a function that cancels this. */
+	whenRelieved(resume: () => void): () => void {
+		return this.#budget.whenRelieved(resume);
+	}
+
+	/** Sets how the request is refused if its memory is needed; undefined once it may have been sent to a target. */
+	setRefusal(refuse: (() => void) | undefined): void {
+		this.#refuse = refuse;
+	}
+
+	/** Refuses the request. Returns false if it may have been sent to a target. */
+	refuse(): boolean {
+		const refuse = this.#refuse;
+		this.#refuse = undefined;
+		refuse?.();
+		return refuse !== undefined;
+	}
+
+	/** Counts bytes that the request no longer holds; all of them if absent. */
+	release(bytes = this.#bytes): void {
+		this.#bytes -= bytes;
+		this.#share.add(-bytes);
+	}
+}
--- a/packages/transport/src/http-body/index.ts
+++ b/packages/transport/src/http-body/index.ts
@@ -7,7 +7,7 @@
 */
 
 import {Readable} from 'node:stream';
-import {FireflygladeError} from '@fireflyglade/model';
+import {bytesInKibibyte, FireflygladeError} from '@fireflyglade/model';
 import type {OutgoingBody} from '../http-types/index.js';
 
 /** A body is larger than the listener allows. */
@@ -88,8 +88,21 @@
 	readonly maximumBytes: number;
 	/** Tells whether the source delivered its whole body; asked once the source has ended. */
 	readonly isWhole?: () => boolean;
+	/** Counts the memory of the body; not counted if absent. */
+	readonly memory?: StreamMemory | undefined;
 };
 
+/** Counts the memory of a streamed body. */
+export type StreamMemory = {
+	/** Counts bytes that are held from now on. */
+	hold(bytes: number): void;
+	/** Counts bytes that are no longer held. */
+	release(bytes: number): void;
+};
+
+/** What the runtime holds of a body that it has read and that no reader has taken: one read. */
+const runtimeBufferBytes = 64 * bytesInKibibyte;
+
 /** A body that is streamed from its source, with its start buffered up to a limit. */
 export class StreamedBody implements RequestBody {
 	readonly length: number | undefined;
@@ -104,11 +117,14 @@
 	#pendingRead: Promise<void> | undefined;
 	/** Number of the reader that may read. */
 	#currentReader = 0;
+	/** Bytes of the last chunks that were taken and aren't buffered any more; their reader may still hold them. */
+	#takenBytes = 0;
 
 	constructor(source: AsyncIterable<Uint8Array>, options: StreamedBodyOptions) {
 		this.length = options.length;
 		this.#source = source[Symbol.asyncIterator]();
 		this.#options = options;
+		options.memory?.hold(runtimeBufferBytes);
 	}
 
 	get isComplete(): boolean {
@@ -170,13 +186,23 @@
 		}
 
 		if (this.#bytesRead > this.#options.maximumReplayBytes) {
-			this.#bufferedChunks = this.#bufferedChunks.slice(index + 1);
-			this.#firstBufferedIndex += index + 1;
+			this.#forget(index + 1);
 		}
 
 		return chunk;
 	}
 
+	/** Forgets the first buffered chunks, of which the last one is held by its reader for now. */
+	#forget(count: number): void {
+		const forgotten = this.#bufferedChunks.splice(0, count);
+		this.#firstBufferedIndex += count;
+		this.#options.memory?.release(this.#takenBytes);
+		this.#takenBytes = 0;
+		for (const {byteLength} of forgotten) {
+			this.#takenBytes += byteLength;
+		}
+	}
+
 	async #readNextChunk(): Promise<void> {
 		try {
 			const result = await this.#source.next();
@@ -191,6 +217,7 @@
 			}
 
 			this.#bufferedChunks.push(result.value);
+			this.#options.memory?.hold(result.value.byteLength);
 		} catch (error: unknown) {
 			this.#failure = error instanceof FireflygladeError ? error : new BodyBrokenError('the caller disconnected in the middle of the body', {cause: error});
 			throw this.#failure;
@@ -208,37 +235,3 @@
 		this.#isSourceEnded = true;
 	}
 }
-
-/**
-Reads a body of known length into memory.
-
-@throws {BodyBrokenError} The source ended with a length other than `length`, or was closed before its end.
-*/
-export async function readWholeBody(source: Readable, length: number): Promise<Uint8Array> {
-	return new Promise((resolve, reject) => {
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		source.on('data', (chunk: Uint8Array) => {
-			chunks.push(chunk);
-			bytes += chunk.byteLength;
-		});
-		source.once('end', () => {
-			if (bytes === length) {
-				resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
-				return;
-			}
-
-			reject(new BodyBrokenError('the body ended before its stated length'));
-		});
-		const fail = (): void => {
-			if (source.readableEnded) {
-				return;
-			}
-
-			reject(new BodyBrokenError('the caller disconnected in the middle of the body'));
-		};
-
-		source.once('error', fail);
-		source.once('close', fail);
-	});
-}
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -17,6 +17,7 @@
 import {ConnectionBacklog, RequestBacklog} from '../_lib/request-backlog/index.js';
 import {problemFields, writeProblem} from '../http-response/index.js';
 import type {MutualTlsCredentials} from '../http-types/index.js';
+import {createProcessResources, type ProcessResources} from '../process-resources/index.js';
 
 /** Options of a listener. */
 export type HttpListenerOptions = {
@@ -30,6 +31,8 @@
 	readonly remainingBodyTimeoutMilliseconds?: number;
 	/** Accepts only clients with a certificate of the fleet's authority; plain HTTP if absent. */
 	readonly mutualTls?: MutualTlsCredentials;
+	/** What all listeners of the process share; the listener has resources of its own if absent. */
+	readonly resources?: ProcessResources;
 } & Partial<RequestBacklogLimits>;
 
 const defaultKeepAliveTimeoutMilliseconds = 75_000;
@@ -38,7 +41,10 @@
 /** Number of checks for timed-out requests within the time limit of a request. */
 const checksPerRequestTimeout = 2;
 const closePollIntervalMilliseconds = 20;
-const overloadedRetryMilliseconds = 1000;
+/** Refuses a request that was not sent to a target, because the process lacks memory for it. */
+export const overloadedProblem: Problem = {
+	code: 'overloaded', outcome: 'not-run', detail: 'the process lacks memory for the request', retryAfterMilliseconds: 1000,
+};
 
 /** Listens for HTTP requests at one address. */
 export class HttpListener {
@@ -57,7 +63,7 @@
 	constructor(handler: RequestListener, options: HttpListenerOptions) {
 		this.#handler = handler;
 		this.#options = options;
-		this.#backlog = new RequestBacklog(options);
+		this.#backlog = new RequestBacklog(options, (options.resources ?? createProcessResources()).memory);
 		const {mutualTls} = options;
 		const serverOptions: ServerOptions = {
 			maxHeaderSize: options.maximumHeaderBytes,
@@ -166,9 +172,7 @@
 			this.#run(request, response);
 		} else if (decision === 'refuse') {
 			response.shouldKeepAlive = false;
-			writeProblem(response, {
-				code: 'overloaded', outcome: 'not-run', detail: 'too many bodies of requests are in progress', retryAfterMilliseconds: overloadedRetryMilliseconds,
-			});
+			writeProblem(response, {...overloadedProblem, detail: 'too many bodies of requests are in progress'});
 		}
 	}
 
@@ -203,8 +207,13 @@
 			return;
 		}
 
-		const backlog = new ConnectionBacklog(socket, this.#backlog, (request, response) => {
-			this.#runAfterWait(request, response);
+		const backlog = new ConnectionBacklog(socket, this.#backlog, {
+			run: (request, response) => {
+				this.#runAfterWait(request, response);
+			},
+			refuse() {
+				endWithProblem(socket, overloadedProblem);
+			},
 		});
 		this.#backlogs.set(socket, backlog);
 		if (socket.writableEnded) {
@@ -297,10 +306,7 @@
 
 	#admitConnection(socket: Socket): void {
 		if (this.#sockets.size >= this.#options.maximumConnections) {
-			socket.end(formatRawProblem({
-				code: 'overloaded', outcome: 'not-run', detail: 'too many connections', retryAfterMilliseconds: overloadedRetryMilliseconds,
-			}));
-			socket.destroySoon();
+			endWithProblem(socket, {...overloadedProblem, detail: 'too many connections'});
 			return;
 		}
 
@@ -332,6 +338,12 @@
 	});
 }
 
+/** Sends a problem on a connection that has no request, and closes it. */
+function endWithProblem(socket: Socket, problem: Problem): void {
+	socket.end(formatRawProblem(problem));
+	socket.destroySoon();
+}
+
 function sendProblemAndClose(error: NodeJS.ErrnoException, socket: Socket, mayHaveRun: boolean): void {
 	if (!socket.writable || error.code === 'ECONNRESET') {
 		socket.destroy();
