Read bodies of calls of operators and upstreams without a web stream

What callers saw: one chunked body beyond the limit of heartbeats, announcements or configurations ends the process that got it (TypeError "Controller is already closed"), and 24 configurations that stop short of their end take a control process to 514 MiB. Cause: the router's limit cancels a web stream while the request goes on to deliver into it; and nothing bounded such bodies together. Change: readCallBody reads from the request itself, stops at the limit and counts in the account of the process. The operators' listener of a control process becomes an HttpListener, with its limits on connections and time.

--- a/packages/control/src/_lib/describe-statement-error.ts
+++ b/packages/control/src/_lib/describe-statement-error.ts
@@ -2,9 +2,9 @@
 Maps errors of statements to HTTP answers.
 */
 
-import {HTTPError} from 'h3';
 import {StatementSyntaxError, type StatementErrorResponse} from '@fireflyglade/language';
 import {FireflygladeError} from '@fireflyglade/model';
+import {BodyTooLargeError} from '@fireflyglade/transport';
 import {NoQuorumError, ShuttingDownError, UnknownOperatorError} from '../errors/index.js';
 import {ChangeRefusedError, ForbiddenStatementError} from '../statement-service/index.js';
 
@@ -26,11 +26,11 @@
 		return 503;
 	}
 
-	if (error instanceof FireflygladeError) {
-		return 400;
+	if (error instanceof BodyTooLargeError) {
+		return 413;
 	}
 
-	return error instanceof HTTPError ? error.status : 500;
+	return error instanceof FireflygladeError ? 400 : 500;
 }
 
 /** Returns the JSON body for an error that a statement caused. Messages of unexpected errors are not exposed. */
@@ -43,7 +43,5 @@
 		return {error: {code: error.code, message: error.message}};
 	}
 
-	return error instanceof HTTPError
-		? {error: {code: 'bad-request', message: error.message}}
-		: {error: {code: 'internal', message: 'the statement failed'}};
+	return {error: {code: 'internal', message: 'the statement failed'}};
 }
--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -15,8 +15,8 @@
 	NodeFileSystem, openLogStorage, SpaceWaitingFileSystem, type FileSystem,
 } from '@fireflyglade/storage';
 import {
-	claimMethod, createRpcClient, createRpcServer, encodeMessage, findDeparturesMethod, recordDepartureMethod, reportMethod,
-	type ClaimCall, type ClaimCallResponse, type FleetCredentials, type RpcClient, type RpcServer,
+	claimMethod, createProcessResources, createRpcClient, createRpcServer, encodeMessage, findDeparturesMethod, recordDepartureMethod, reportMethod,
+	type ClaimCall, type ClaimCallResponse, type FleetCredentials, type ProcessResources, type RpcClient, type RpcServer,
 } from '@fireflyglade/transport';
 import {
 	changeMembersMethod, deliverMethod, introduceMethod, proposeMethod, shareMethod, teamCountsMethod,
@@ -59,6 +59,8 @@
 	/** True if the replicated log already exists and this process waits until it is added as a member. */
 	readonly join?: boolean;
 	readonly operators: readonly Operator[];
+	/** What the listeners of the process share; created from what the system tells if absent. */
+	readonly resources?: ProcessResources;
 	readonly credentials: FleetCredentials;
 	/** Failure domain of the VM; nodes of the same domain prefer this process. */
 	readonly domain?: FailureDomain;
@@ -204,6 +206,7 @@
 				log, proposer: this.#proposer, registry: this.#registry, members: this.#membership, queries, clock,
 			}),
 			operators: options.operators,
+			resources: options.resources ?? createProcessResources(),
 			isReady: () => this.#reports.hasQuorum(),
 		});
 	}
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -14,7 +14,7 @@
 	loadControlSettings, SettingsError, type ControlSettings, type OperatorTokenSettings,
 } from '@fireflyglade/settings';
 import {createLogger} from '@fireflyglade/observability';
-import {loadFleetCredentials} from '@fireflyglade/transport';
+import {createProcessResources, loadFleetCredentials} from '@fireflyglade/transport';
 import {ControlProcess} from './control-process/index.js';
 import type {Operator} from './statement-service/index.js';
 
@@ -37,6 +37,7 @@
 		join: settings.join,
 		operators: await Promise.all(settings.operators.map(async operator => loadOperator(operator))),
 		credentials: await loadFleetCredentials(settings.security),
+		resources: createProcessResources(settings.resources),
 		randomSeed: randomInt(seedUpperBound),
 		onDiskFull(isFull) {
 			logger.warn(isFull ? 'the disk is full; changes wait for space' : 'the disk has space again');
--- a/packages/control/src/operator-listener/index.ts
+++ b/packages/control/src/operator-listener/index.ts
@@ -3,12 +3,9 @@
 */
 
 import {createHash, timingSafeEqual} from 'node:crypto';
-import {createServer, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {
-	bodyLimit, H3, toNodeHandler, type H3Event,
-} from 'h3';
-import {InvalidInputError, type CommandId} from '@fireflyglade/model';
+import {H3, toNodeHandler, type H3Event} from 'h3';
+import {bytesInKibibyte, InvalidInputError, type CommandId} from '@fireflyglade/model';
+import {HttpListener, readCallBody, type ProcessResources} from '@fireflyglade/transport';
 import {describeStatementError, statusOfStatementError} from '../_lib/describe-statement-error.js';
 import {UnknownOperatorError} from '../errors/index.js';
 import type {Operator, StatementService} from '../statement-service/index.js';
@@ -19,9 +16,13 @@
 	readonly operators: readonly Operator[];
 	/** True if the process can execute statements. */
 	readonly isReady: () => boolean;
+	/** What the listeners of the process share. */
+	readonly resources: ProcessResources;
 };
 
-const maximumBodyBytes = 65_536;
+const maximumBodyBytes = 64 * bytesInKibibyte;
+const listenerLimits = {maximumHeaderBytes: 16 * bytesInKibibyte, maximumConnections: 500, requestTimeoutMilliseconds: 20_000};
+const closeTimeoutMilliseconds = 10_000;
 const bearerPrefix = 'Bearer ';
 const commandIdPattern = /^[\w-]{8,64}$/;
 
@@ -48,9 +49,9 @@
 }
 
 async function readJson(event: H3Event): Promise<unknown> {
-	const text = await event.req.text();
+	const body = await readCallBody(event, maximumBodyBytes);
 	try {
-		return JSON.parse(text) as unknown;
+		return JSON.parse(Buffer.from(body).toString()) as unknown;
 	} catch (error: unknown) {
 		throw new InvalidInputError('the body is no JSON', {cause: error});
 	}
@@ -60,17 +61,16 @@
 export class OperatorListener {
 	readonly #options: OperatorListenerOptions;
 	readonly #tokens: ReadonlyArray<{readonly digest: Uint8Array; readonly operator: Operator}>;
-	readonly #server: Server;
+	readonly #listener: HttpListener;
 
 	constructor(options: OperatorListenerOptions) {
 		this.#options = options;
 		this.#tokens = options.operators.map(operator => ({digest: hashToken(operator.token), operator}));
 		const app = new H3();
-		app.use(bodyLimit(maximumBodyBytes));
 		app.post('/v1/statements', async event => this.#answer(event));
 		app.get('/healthz', () => ({status: 'alive'}));
 		app.get('/readyz', () => this.#answerReadiness());
-		this.#server = createServer(toNodeHandler(app));
+		this.#listener = new HttpListener(toNodeHandler(app), {...listenerLimits, resources: options.resources});
 	}
 
 	/**
@@ -79,23 +79,12 @@
 	@throws {Error} The address can't be listened on.
 	*/
 	async listen(address: string): Promise<string> {
-		const separator = address.lastIndexOf(':');
-		const host = address.slice(0, separator);
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(Number(address.slice(separator + 1)), host.replaceAll(/[[\]]/g, ''), resolve);
-		});
-		return `http://${host}:${(this.#server.address() as AddressInfo).port}`;
+		return `http://${await this.#listener.listen(address)}`;
 	}
 
-	/** Accepts no new connections, and waits until the running statements are answered. */
+	/** Accepts no new connections, and waits until the running statements are answered, for up to ten seconds. */
 	async close(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#server.close(() => {
-				resolve();
-			});
-			this.#server.closeIdleConnections();
-		});
+		await this.#listener.close(closeTimeoutMilliseconds);
 	}
 
 	async #answer(event: H3Event): Promise<Response> {
--- a/packages/node/src/announce-listener/index.ts
+++ b/packages/node/src/announce-listener/index.ts
@@ -6,15 +6,13 @@
 */
 
 import type {RequestListener} from 'node:http';
-import {
-	bodyLimit, H3, HTTPError, type H3Event,
-} from 'h3';
+import {H3, HTTPError, type H3Event} from 'h3';
 import {toNodeHandler} from 'h3/node';
 import {
 	announcementTimeoutMilliseconds, createServiceName, InvalidInputError,
 	type Clock, type Timer,
 } from '@fireflyglade/model';
-import {parseAddress} from '@fireflyglade/transport';
+import {BodyTooLargeError, parseAddress, readCallBody} from '@fireflyglade/transport';
 import type {AnnouncedUpstream} from '../gate/index.js';
 
 /** Handlers of announcements. */
@@ -28,6 +26,7 @@
 const maximumAnnouncementBytes = 65_536;
 const maximumCount = 100_000;
 const badRequestStatus = 400;
+const bodyTooLargeStatus = 413;
 
 /** Accepts announcements and removes the upstream after a timeout. */
 export class AnnounceListener {
@@ -42,7 +41,6 @@
 		this.#handlers = handlers;
 		this.#timeoutMilliseconds = timeoutMilliseconds;
 		const router = new H3({silent: true});
-		router.use(bodyLimit(maximumAnnouncementBytes));
 		router.post('/announce', async event => this.#announce(event));
 		router.delete('/announce', () => this.#leave());
 		this.listener = toNodeHandler(router);
@@ -81,10 +79,11 @@
 
 async function readAnnouncement(event: H3Event): Promise<AnnouncedUpstream> {
 	try {
-		return parseAnnouncement(await event.req.json());
+		const body = await readCallBody(event, maximumAnnouncementBytes);
+		return parseAnnouncement(JSON.parse(Buffer.from(body).toString()));
 	} catch (error) {
-		if (HTTPError.isError(error)) {
-			throw error;
+		if (error instanceof BodyTooLargeError) {
+			throw new HTTPError({status: bodyTooLargeStatus, message: error.message, body: {code: error.code, detail: error.message}});
 		}
 
 		const message = error instanceof InvalidInputError ? error.message : 'the announcement is not JSON';
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -22,6 +22,7 @@
 export * from './process-limits/index.js';
 export * from './process-resources/index.js';
 export * from './grpc-rpc-client/index.js';
+export * from './read-call-body/index.js';
 export * from './read-whole-body/index.js';
 export * from './rpc-error/index.js';
 export * from './grpc-rpc-server/index.js';
