Count heads and trailers, also unfinished ones

What callers saw: 600 clients with a few requests of 60 KB of header fields each end a node with a heap of 64 MB; 240 heads of 1 MB without an end take a node to 345 MiB. Cause: neither heads of unanswered requests nor what the parser holds of unfinished ones was counted. Change: both count in the share of their connection, trailers too. While the heads of all connections could take half of the memory, connections are read in pieces, as only then unfinished heads are seen.

--- a/packages/transport/src/_lib/gather-small-chunks/index.ts
+++ b/packages/transport/src/_lib/gather-small-chunks/index.ts
@@ -15,8 +15,15 @@
 /** Joined chunks are buffered once they have this length, or when the current read has been parsed. */
 const maximumJoinedBytes = 4 * bytesInKibibyte;
 
+/** What was parsed of a chunked body. */
+export type GatheredChunks = {
+	/** Number of chunks, whole or in part. */
+	readonly count: number;
+};
+
 /** Joins the small chunks of a request from now on. Must be called before any part of its body is parsed. */
-export function gatherSmallChunks(request: IncomingMessage): void {
+export function gatherSmallChunks(request: IncomingMessage): GatheredChunks {
+	const chunks = {count: 0};
 	const push = request.push.bind(request);
 	let gathered: Uint8Array[] = [];
 	let gatheredBytes = 0;
@@ -33,6 +40,7 @@
 	};
 
 	request.push = (chunk: unknown): boolean => {
+		chunks.count += 1;
 		if (!(chunk instanceof Uint8Array) || chunk.byteLength >= largeChunkBytes) {
 			flush();
 			return push(chunk);
@@ -46,4 +54,6 @@
 		gatheredBytes += chunk.byteLength;
 		return gatheredBytes < maximumJoinedBytes || flush();
 	};
+
+	return chunks;
 }
--- a/packages/transport/src/_lib/request-backlog/index.ts
+++ b/packages/transport/src/_lib/request-backlog/index.ts
@@ -23,7 +23,7 @@
 import {bytesInKibibyte} from '@fireflyglade/model';
 import {defaultRequestBacklogLimits, type RequestBacklogLimits} from '@fireflyglade/settings';
 import type {MemoryBudget, MemoryShare} from '../../memory-budget/index.js';
-import {gatherSmallChunks} from '../gather-small-chunks/index.js';
+import {gatherSmallChunks, type GatheredChunks} from '../gather-small-chunks/index.js';
 import {RequestMemory} from '../request-memory/index.js';
 
 /** What becomes of a request: it runs, waits for the answers to earlier ones, is refused, or ends with its connection, which has been closed. */
@@ -38,12 +38,22 @@
 /** Memory that the body of one request takes at most: the start that is kept for another attempt, and one read beyond it. Longer bodies pass through. */
 const maximumBytesPerBody = 128 * bytesInKibibyte;
 
+/** Share of the memory that the heads of all connections of a listener may occupy; if they could occupy more, connections are read in pieces, so that unfinished heads are counted. */
+const headShare = 0.5;
+/** Memory of the objects that the runtime creates for a request. */
+const requestObjectBytes = 4 * bytesInKibibyte;
+/** Memory of a string beside its characters. */
+const stringObjectBytes = 24;
+
 /** Longer bodies are refused while memory runs short. */
 const ordinaryBodyBytes = 64 * bytesInKibibyte;
 
 /** Share of the limits of all connections together from which no connection is left to the server. */
 const pressureShare = 0.25;
 
+/** Limits of a listener. */
+export type RequestBacklogOptions = Partial<RequestBacklogLimits> & {readonly maximumHeaderBytes: number};
+
 /** Counts what all connections of a listener have unanswered. */
 export class RequestBacklog {
 	readonly limits: RequestBacklogLimits;
@@ -55,10 +65,14 @@
 	waitingBytes = 0;
 	/** The memory of the process, which other listeners share. */
 	readonly memory: MemoryBudget;
+	/** Number of open connections. */
+	#connections = 0;
+	readonly #maximumHeaderBytes: number;
 	/** Connections that are left to the server. */
 	readonly #leftToServer = new Set<ConnectionBacklog>();
 
-	constructor(limits: Partial<RequestBacklogLimits>, memory: MemoryBudget) {
+	constructor({maximumHeaderBytes, ...limits}: RequestBacklogOptions, memory: MemoryBudget) {
+		this.#maximumHeaderBytes = maximumHeaderBytes;
 		this.limits = {...defaultRequestBacklogLimits, ...limits};
 		this.memory = memory;
 	}
@@ -75,22 +89,27 @@
 		return !isShort || this.memory.evictStalled();
 	}
 
-	/** Leaves a connection to the server, unless there is pressure. */
-	leaveToServer(connection: ConnectionBacklog): void {
+	/** Records a new connection and leaves it to the server, unless there is pressure. */
+	open(connection: ConnectionBacklog): void {
+		this.#connections += 1;
 		this.#leftToServer.add(connection);
 		this.relievePressure();
 	}
 
-	/** Records that a connection is closed or read in pieces. */
-	forget(connection: ConnectionBacklog): void {
+	/** Records that a connection is read in pieces. */
+	takeFromServer(connection: ConnectionBacklog): void {
+		this.#leftToServer.delete(connection);
+	}
+
+	/** Records that a connection is closed. */
+	close(connection: ConnectionBacklog): void {
+		this.#connections -= 1;
 		this.#leftToServer.delete(connection);
 	}
 
 	/** Has all connections read in pieces if there is pressure. */
 	relievePressure(): void {
-		const {maximumUnansweredRequests, maximumUnansweredBodyBytes} = this.limits;
-		const {heldBytes, maximumBytes} = this.memory;
-		if (this.requests < maximumUnansweredRequests * pressureShare && this.bodyBytes < maximumUnansweredBodyBytes * pressureShare && heldBytes < maximumBytes * pressureShare) {
+		if (!this.#hasPressure()) {
 			return;
 		}
 
@@ -98,6 +117,15 @@
 			connection.readInPieces();
 		}
 	}
+
+	#hasPressure(): boolean {
+		const {maximumUnansweredRequests, maximumUnansweredBodyBytes} = this.limits;
+		const {heldBytes, maximumBytes} = this.memory;
+		return this.requests >= maximumUnansweredRequests * pressureShare
+			|| this.bodyBytes >= maximumUnansweredBodyBytes * pressureShare
+			|| heldBytes >= maximumBytes * pressureShare
+			|| this.#connections * this.#maximumHeaderBytes > maximumBytes * headShare;
+	}
 }
 
 /** An unanswered request of a connection. */
@@ -136,6 +164,10 @@
 	/** Requests that were parsed and have not been started. */
 	readonly #waiting: Array<{readonly request: IncomingMessage; readonly response: ServerResponse}> = [];
 	#last: IncomingMessage | undefined;
+	/** The body of the last request, if its length is not known. */
+	#lastChunks: GatheredChunks | undefined;
+	/** Bytes of an unfinished head, or of unfinished trailers, that the parser holds. */
+	#parserBytes = 0;
 	/** Bytes that the parser has been given. */
 	#parsedBytes = 0;
 	/** Bytes of the last request's body that are certainly still to come. */
@@ -154,9 +186,9 @@
 			this.#giveUp();
 		});
 		backlogs.set(socket, this);
-		total.leaveToServer(this);
+		total.open(this);
 		socket.once('close', () => {
-			total.forget(this);
+			total.close(this);
 			this.#memory.close();
 			this.#waiting.length = 0;
 			this.#setWaitingBytes(0);
@@ -190,16 +222,20 @@
 		const length = getBodyLength(request);
 		const bodyBytes = Math.min(length, maximumBytesPerBody);
 		const hasRoom = bodyBytes === 0 || total.makeRoomForBody(length);
-		this.#unanswered.set(response, {start: this.#parsedBytes, bodyBytes, memory: new RequestMemory(this.#memory, total.memory)});
+		const memory = new RequestMemory(this.#memory, total.memory);
+		this.#unanswered.set(response, {start: this.#parsedBytes, bodyBytes, memory});
 		this.#last = request;
+		this.#lastChunks = undefined;
 		this.#remainingBodyBytes = 0;
 		if (Number.isFinite(length)) {
 			this.#remainingBodyBytes = length;
 		} else {
-			gatherSmallChunks(request);
+			this.#lastChunks = gatherSmallChunks(request);
 			this.readInPieces();
 		}
 
+		memory.hold(measureHead(request));
+
 		total.requests += 1;
 		total.bodyBytes += bodyBytes;
 		total.relievePressure();
@@ -246,7 +282,7 @@
 
 	/** Takes the place of the HTTP server's listener for the data of the socket, from the next read on. */
 	readInPieces(): void {
-		this.#total.forget(this);
+		this.#total.takeFromServer(this);
 		if (this.#parse !== undefined) {
 			return;
 		}
@@ -299,13 +335,28 @@
 			}
 
 			const length = Math.min(chunk.byteLength - offset, this.#getPieceLength());
-			this.#parse!(offset === 0 && length === chunk.byteLength ? chunk : chunk.subarray(offset, offset + length));
-			this.#parsedBytes += length;
+			this.#parsePiece(offset === 0 && length === chunk.byteLength ? chunk : chunk.subarray(offset, offset + length));
 			this.#remainingBodyBytes = Math.max(0, this.#remainingBodyBytes - length);
 			offset += length;
 		}
 	}
 
+	/** Gives a piece to the parser, and counts what it holds of an unfinished head or unfinished trailers. */
+	#parsePiece(piece: Uint8Array): void {
+		const last = this.#last;
+		const chunks = this.#lastChunks?.count;
+		this.#parse!(piece);
+		this.#parsedBytes += piece.byteLength;
+		const isBodyOfKnownLength = this.#last?.complete === false && this.#lastChunks === undefined;
+		const hasProgressed = this.#last !== last || this.#lastChunks?.count !== chunks;
+		this.#setParserBytes(isBodyOfKnownLength || hasProgressed ? 0 : this.#parserBytes + piece.byteLength);
+	}
+
+	#setParserBytes(bytes: number): void {
+		this.#memory.add(bytes - this.#parserBytes);
+		this.#parserBytes = bytes;
+	}
+
 	/** Leaves the rest unread until a response has ended or the HTTP server resumes the socket. */
 	#wait(rest: Uint8Array): void {
 		this.#socket.pause();
@@ -359,6 +410,16 @@
 	}
 }
 
+/** Returns the bytes that the head of a request and the runtime's objects for it occupy. */
+function measureHead({url, rawHeaders}: IncomingMessage): number {
+	let bytes = requestObjectBytes + url!.length;
+	for (const text of rawHeaders) {
+		bytes += stringObjectBytes + text.length;
+	}
+
+	return bytes;
+}
+
 /** Returns the length of a request's body; infinity if it is not known. */
 function getBodyLength({headers}: IncomingMessage): number {
 	if (headers['transfer-encoding'] !== undefined) {
