Take little from peers that have not authenticated themselves

What callers saw: 12 connections with an unfinished message of 56 MiB take a node to 489 MiB and a control process to 502 MiB, 160 at the listener for calls between nodes take a node to 281 MiB, and none of them presents the token of the fleet. Cause: messages of up to 64 MiB and 2 MiB were received before the first one was checked. A gate also counted nothing of the calls that it holds for other nodes, and a body of up to 1 MiB went over the shared connection, without flow control. Change: 4 KiB and 5 s until a peer is authenticated; unfinished messages and calls count in the account of the process, and a gate refuses calls beyond it as not run; bodies of more than 64 KiB go over HTTP.

--- a/packages/control/src/control-process/index.ts
+++ b/packages/control/src/control-process/index.ts
@@ -171,7 +171,8 @@
 		this.#client = client;
 		this.#log = log;
 		this.#directory = directory;
-		this.#server = createRpcServer(options.credentials, clock, createMessageErrorLog(options));
+		const resources = options.resources ?? createProcessResources();
+		this.#server = createRpcServer(options.credentials, clock, {onMessageError: createMessageErrorLog(options), resources});
 		this.#reports = new ReportService({
 			log,
 			registry: this.#registry,
@@ -206,7 +207,7 @@
 				log, proposer: this.#proposer, registry: this.#registry, members: this.#membership, queries, clock,
 			}),
 			operators: options.operators,
-			resources: options.resources ?? createProcessResources(),
+			resources,
 			isReady: () => this.#reports.hasQuorum(),
 		});
 	}
--- a/packages/node/src/_lib/channel-gates/index.ts
+++ b/packages/node/src/_lib/channel-gates/index.ts
@@ -1,7 +1,7 @@
 /**
 Runs calls at the gates of other nodes over one multiplexed connection to each
-gate. A call with a streamed body is sent over HTTP instead, which provides flow
-control for the request.
+gate. A call with a streamed or long body is sent over HTTP instead, which provides
+flow control for the request.
 
 This keeps hops cheap in a deep call graph: most calls are small, and concurrent
 calls share the writes and reads of a connection, where HTTP needs an exchange
@@ -17,6 +17,7 @@
 import {
 	reportBrokenCall, reportUnreachableGate, type BrokenCall, type GateInquiryOptions,
 } from '../gate-inquiry/index.js';
+import {maximumBufferedBodyBytes} from '../request-body/index.js';
 import {
 	FieldDecoder, FieldEncoder, peerMessageKinds as kinds, decodeGateAnswer, encodeCall, type EncodedFields,
 } from '../peer-messages/index.js';
@@ -47,8 +48,8 @@
 		return {
 			run: (call, receiver) => {
 				const {channelAddress} = target;
-				const isBuffered = call.body === undefined || call.body instanceof Uint8Array;
-				return channelAddress === undefined || !isBuffered
+				const isShort = call.body === undefined || (call.body instanceof Uint8Array && call.body.byteLength <= maximumBufferedBodyBytes);
+				return channelAddress === undefined || !isShort
 					? this.#options.fallback(target).run(call, receiver)
 					: this.#openChannel(channelAddress).run(target, call, receiver);
 			},
--- a/packages/node/src/channel-listener/index.ts
+++ b/packages/node/src/channel-listener/index.ts
@@ -3,14 +3,14 @@
 that multiplex many concurrent calls as frames.
 */
 
-import type {Clock, Problem} from '@fireflyglade/model';
+import {bytesInKibibyte, type Clock, type Problem} from '@fireflyglade/model';
 import {
-	FrameConnectionError, FrameListener, selectResponseFields,
-	type ResponseFlow, type ResponseHead, type FrameConnection, type FrameConnectionHandlers, type HeaderFields,
+	FrameConnectionError, FrameListener, overloadedProblem, selectResponseFields,
+	type AcceptedPeer, type ResponseFlow, type ResponseHead, type FrameConnection, type FrameConnectionHandlers, type HeaderFields, type ProcessResources,
 } from '@fireflyglade/transport';
 import type {Gate} from '../gate/index.js';
 import type {
-	CallReceiver, GateMetadata, RunningCall,
+	CallReceiver, GateCall, GateMetadata, RunningCall,
 } from '../_lib/call-types.js';
 import {createCallContext} from '../_lib/gate-call/index.js';
 import {SecretVerifier} from '../_lib/peer-fields/index.js';
@@ -24,19 +24,28 @@
 	/** The shared token of the fleet, which other nodes must send first. */
 	readonly token: string;
 	readonly clock: Clock;
+	/** What the listeners of the process share; the listener has resources of its own if absent. */
+	readonly resources?: ProcessResources;
 	/** Called for each malformed message, to log it. */
 	readonly onMessageError?: (error: Error) => void;
 };
 
+/** A connection, which may be read only after its handlers were created, and what the listener knows of it. */
+type AcceptedConnection = {
+	readonly connection: () => FrameConnection;
+	readonly peer: AcceptedPeer;
+};
+
 /** Creates the listener for other nodes' calls over channels. */
 export function createChannelListener(options: ChannelListenerOptions): FrameListener {
 	const secretVerifier = new SecretVerifier(options.token);
-	return new FrameListener(connection => new PeerConnection(connection, options, secretVerifier), options);
+	return new FrameListener((connection, peer) => new PeerConnection({connection, peer}, options, secretVerifier), {...options, mustAuthenticate: true});
 }
 
 /** Serves the calls on one connection of an entry node, which must authenticate with its first message. */
 class PeerConnection implements FrameConnectionHandlers {
 	readonly #connection: () => FrameConnection;
+	readonly #peer: AcceptedPeer;
 	readonly #options: ChannelListenerOptions;
 	readonly #secretVerifier: SecretVerifier;
 	readonly #calls = new Map<number, PeerCallAnswer>();
@@ -44,8 +53,9 @@
 	readonly #encoder = new FieldEncoder();
 	#isAuthenticated = false;
 
-	constructor(connection: () => FrameConnection, options: ChannelListenerOptions, secretVerifier: SecretVerifier) {
+	constructor({connection, peer}: AcceptedConnection, options: ChannelListenerOptions, secretVerifier: SecretVerifier) {
 		this.#connection = connection;
+		this.#peer = peer;
 		this.#options = options;
 		this.#secretVerifier = secretVerifier;
 	}
@@ -66,7 +76,7 @@
 
 			case kinds.cancel: {
 				const call = this.#calls.get(callNumber);
-				this.#calls.delete(callNumber);
+				this.#forget(callNumber);
 				call?.running?.cancel();
 				return;
 			}
@@ -104,21 +114,26 @@
 
 	#authenticate(isAllowed: boolean): void {
 		this.#isAuthenticated = isAllowed;
-		if (!isAllowed) {
-			this.#connection().destroy(new FrameConnectionError('only nodes of the fleet may call a gate'));
+		if (isAllowed) {
+			this.#peer.trust();
+			return;
 		}
+
+		this.#connection().destroy(new FrameConnectionError('only nodes of the fleet may call a gate'));
 	}
 
 	#run(number: number, message: readonly unknown[]): void {
 		const [encodedCall, traceparent, method, path, fields, body] = message.slice(2) as [unknown, string, string, string, EncodedFields, unknown];
 		const headers = this.#decoder.decodeList(fields);
 		const call = decodeCall(encodedCall);
-		const answer = new PeerCallAnswer(number, {connection: this.#connection(), encoder: this.#encoder}, () => {
-			this.#calls.delete(number);
+		const heldBytes = measureCall(path, headers, body);
+		const answer = new PeerCallAnswer(number, {connection: this.#connection(), encoder: this.#encoder, heldBytes}, () => {
+			this.#forget(number);
 		});
 		this.#calls.set(number, answer);
+		this.#peer.memory.add(heldBytes);
 		const {service, idempotent, job} = call;
-		const running = this.#options.gate.run({
+		const gateCall: GateCall = {
 			context: createCallContext(call, traceparent, this.#options.clock.now()),
 			service,
 			idempotent,
@@ -128,11 +143,34 @@
 			headers,
 			body: body instanceof Uint8Array ? body : undefined,
 			bodyLength: body instanceof Uint8Array ? body.length : undefined,
-		}, answer);
-		answer.running = running;
+		};
+		if (this.#peer.hasRoom()) {
+			answer.running = this.#options.gate.run(gateCall, answer);
+			return;
+		}
+
+		this.#options.gate.refuse(gateCall, answer, overloadedProblem);
+	}
+
+	#forget(number: number): void {
+		this.#peer.memory.add(-(this.#calls.get(number)?.heldBytes ?? 0));
+		this.#calls.delete(number);
 	}
 }
 
+/** Returns the bytes that a received call occupies. */
+function measureCall(path: string, headers: readonly string[], body: unknown): number {
+	let bytes = callObjectBytes + path.length + (body instanceof Uint8Array ? body.byteLength : 0);
+	for (const text of headers) {
+		bytes += text.length;
+	}
+
+	return bytes;
+}
+
+/** Memory of the objects that the gate creates for a call. */
+const callObjectBytes = 2 * bytesInKibibyte;
+
 /** Number of elements of a head message that contains no data and no end marker. */
 const headOnlyLength = 5;
 
@@ -140,6 +178,8 @@
 type AnswerChannel = {
 	readonly connection: FrameConnection;
 	readonly encoder: FieldEncoder;
+	/** Bytes that the call occupies. */
+	readonly heldBytes: number;
 };
 
 /** Forwards the answer to one call to the entry node. */
@@ -149,6 +189,7 @@
 	readonly #number: number;
 	readonly #connection: FrameConnection;
 	readonly #encoder: FieldEncoder;
+	readonly heldBytes: number;
 	readonly #onEnded: () => void;
 	/** True while the send buffer of the connection is full. */
 	#isConnectionFull = false;
@@ -159,10 +200,11 @@
 	/** The flush count of the connection when the head was sent. */
 	#flushCountAtHead = 0;
 
-	constructor(number: number, {connection, encoder}: AnswerChannel, onEnded: () => void) {
+	constructor(number: number, {connection, encoder, heldBytes}: AnswerChannel, onEnded: () => void) {
 		this.#number = number;
 		this.#connection = connection;
 		this.#encoder = encoder;
+		this.heldBytes = heldBytes;
 		this.#onEnded = onEnded;
 	}
 
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -100,6 +100,7 @@
 
 	constructor(dependencies: NodeDependencies) {
 		const {clock, credentials, settings, observer} = dependencies;
+		const resources = dependencies.resources ?? createProcessResources(settings.resources);
 		this.#dependencies = dependencies;
 		this.#gate = new Gate({
 			...dependencies,
@@ -117,7 +118,7 @@
 					dependencies.routing.setResponsive(target.upstream, isResponsive, dependencies.clock.now());
 				},
 			});
-			this.#channelListener = createChannelListener({...dependencies, gate: this.#gate, token});
+			this.#channelListener = createChannelListener({...dependencies, resources, gate: this.#gate, token});
 		}
 
 		const attempts: CallAttemptsOptions = {
@@ -167,7 +168,6 @@
 		const explainer = new RequestExplainer({
 			...dependencies, ...attempts, limits: settings.limits, isDraining: () => this.#isDraining,
 		});
-		const resources = dependencies.resources ?? createProcessResources(settings.resources);
 		this.#listeners = {
 			callers: new HttpListener((request, response) => {
 				this.#callers.handle(request, response);
--- a/packages/node/src/gate/index.ts
+++ b/packages/node/src/gate/index.ts
@@ -10,7 +10,7 @@
 } from '@fireflyglade/admission';
 import {
 	createUpstreamId,
-	type Clock, type GateLevel, type NodeId, type ServiceName, type TeamName, type Timer, type UpstreamId,
+	type Clock, type GateLevel, type NodeId, type Problem, type ServiceName, type TeamName, type Timer, type UpstreamId,
 } from '@fireflyglade/model';
 import {QueueingDelayTracker, RefusedShareTracker, type QueueingDelay} from '@fireflyglade/routing';
 import {HttpSender, type OutcomeResponse, type OutcomeRequest} from '@fireflyglade/transport';
@@ -227,6 +227,11 @@
 		return exchange;
 	}
 
+	/** Refuses a call that is not offered to admission control, and records that it did not run. */
+	refuse(call: GateCall, receiver: CallReceiver, problem: Problem): void {
+		new GateExchange(call, receiver, this).refuse(problem);
+	}
+
 	/** Reports the outcome of a request. A request that is still queued is withdrawn and reported as not run. */
 	answer(question: OutcomeRequest): OutcomeResponse {
 		const now = this.options.clock.now();
--- a/packages/node/src/start-fleet-node/index.ts
+++ b/packages/node/src/start-fleet-node/index.ts
@@ -17,7 +17,7 @@
 } from '@fireflyglade/routing';
 import type {NodeSettings} from '@fireflyglade/settings';
 import {
-	createRpcClient, createRpcServer, outcomeMethod,
+	createProcessResources, createRpcClient, createRpcServer, outcomeMethod,
 	type FleetCredentials, type ProcessResources,
 } from '@fireflyglade/transport';
 import type {CallInterface} from '../call-interface/index.js';
@@ -99,7 +99,8 @@
 	};
 
 	const client = createRpcClient(credentials, clock, onMessageError);
-	const server = createRpcServer(credentials, clock, onMessageError);
+	const resources = options.resources ?? createProcessResources(settings.resources);
+	const server = createRpcServer(credentials, clock, {onMessageError, resources});
 	const fleet = new FleetRuntime({
 		node: settings.node,
 		domain: settings.domain,
@@ -125,7 +126,7 @@
 	});
 	const node = await createNode({
 		settings,
-		...(options.resources === undefined ? {} : {resources: options.resources}),
+		resources,
 		credentials,
 		rpcAddress,
 		fleet,
--- a/packages/transport/src/create-rpc/index.ts
+++ b/packages/transport/src/create-rpc/index.ts
@@ -5,7 +5,7 @@
 
 import type {Clock} from '@fireflyglade/model';
 import {FrameRpcClient} from '../frame-rpc-client/index.js';
-import {FrameRpcServer} from '../frame-rpc-server/index.js';
+import {FrameRpcServer, type FrameRpcServerOptions} from '../frame-rpc-server/index.js';
 import {GrpcRpcClient} from '../grpc-rpc-client/index.js';
 import {GrpcRpcServer} from '../grpc-rpc-server/index.js';
 import type {FleetCredentials, RpcClient, RpcServer} from '../types.js';
@@ -30,12 +30,12 @@
 /**
 Creates a server of remote calls for the given kind of credentials.
 
-@param onMessageError - Called for each malformed message, to log it.
+@param options - Options for connections that aren't under mutual TLS.
 */
-export function createRpcServer(credentials: FleetCredentials, clock: Clock, onMessageError?: (error: Error) => void): RpcServer {
+export function createRpcServer(credentials: FleetCredentials, clock: Clock, options?: FrameRpcServerOptions): RpcServer {
 	switch (credentials.kind) {
 		case 'token': {
-			return new FrameRpcServer(credentials.token, clock, onMessageError);
+			return new FrameRpcServer(credentials.token, clock, options);
 		}
 
 		case 'mutual-tls': {
--- a/packages/transport/src/frame-connection/index.ts
+++ b/packages/transport/src/frame-connection/index.ts
@@ -13,6 +13,7 @@
 	type Clock, type Timer,
 } from '@fireflyglade/model';
 import {Packr} from 'msgpackr';
+import type {MemoryShare} from '../memory-budget/index.js';
 import {parseAddress} from '../parse-address/index.js';
 
 /** The peer violated the protocol, didn't accept the connection in time or stopped responding. */
@@ -38,6 +39,10 @@
 	readonly clock: Clock;
 	/** Maximum size of a received message; two mebibytes if absent. */
 	readonly maximumMessageBytes?: number;
+	/** Maximum size of a received message before `trustPeer` is called; as large as later ones if absent. */
+	readonly maximumGreetingBytes?: number;
+	/** Counts the received bytes of messages that are not complete yet. */
+	readonly memory?: MemoryShare;
 	/** Called when a message of the peer was malformed or its handler failed, after which the connection is closed; for logging. */
 	readonly onMessageError?: (error: Error) => void;
 };
@@ -87,6 +92,9 @@
 	readonly #handlers: FrameConnectionHandlers;
 	readonly #clock: Clock;
 	readonly #maximumMessageBytes: number;
+	readonly #memory: MemoryShare | undefined;
+	/** Maximum size of a message at present. */
+	#messageLimit: number;
 	readonly #onMessageError: ((error: Error) => void) | undefined;
 	#unsentMessages: Array<readonly unknown[]> = [];
 	#flushCount = 0;
@@ -105,11 +113,14 @@
 	#isClosed = false;
 	#isWriteBufferFull = false;
 
-	constructor(socket: Socket, handlers: FrameConnectionHandlers, {clock, maximumMessageBytes, onMessageError}: FrameConnectionOptions) {
+	constructor(socket: Socket, handlers: FrameConnectionHandlers, options: FrameConnectionOptions) {
+		const {clock, maximumMessageBytes = defaultMaximumMessageBytes, maximumGreetingBytes = maximumMessageBytes, memory, onMessageError} = options;
 		this.#socket = socket;
 		this.#handlers = handlers;
 		this.#clock = clock;
-		this.#maximumMessageBytes = maximumMessageBytes ?? defaultMaximumMessageBytes;
+		this.#maximumMessageBytes = maximumMessageBytes;
+		this.#messageLimit = maximumGreetingBytes;
+		this.#memory = memory;
 		this.#onMessageError = onMessageError;
 		this.#lastReceivedAt = clock.now();
 		this.#isConnected = !socket.connecting;
@@ -142,6 +153,11 @@
 		return this.#flushCount;
 	}
 
+	/** Accepts larger messages from now on, since the peer has authenticated itself. */
+	trustPeer(): void {
+		this.#messageLimit = this.#maximumMessageBytes;
+	}
+
 	/** Queues a message, which is encoded and written after the current event has been handled. Returns false if the write buffer is full. Discards the message if the connection is closed. */
 	send(message: readonly unknown[]): boolean {
 		if (this.#isClosed) {
@@ -289,7 +305,7 @@
 		this.#lastReceivedAt = this.#clock.now();
 		this.#setResponsive(true);
 		this.#receivedChunks.push(bytes);
-		this.#receivedBytes += bytes.length;
+		this.#setReceivedBytes(this.#receivedBytes + bytes.length);
 		if (this.#receivedBytes < this.#neededBytes) {
 			return;
 		}
@@ -298,7 +314,7 @@
 		this.#neededBytes = lengthPrefixBytes;
 		while (remaining.length >= lengthPrefixBytes && !this.#isClosed) {
 			const length = readLength(remaining);
-			if (length > this.#maximumMessageBytes) {
+			if (length > this.#messageLimit) {
 				this.destroy(new FrameConnectionError(`a message of ${length} bytes is too large`));
 				return;
 			}
@@ -313,7 +329,12 @@
 		}
 
 		this.#receivedChunks = remaining.length === 0 ? [] : [remaining];
-		this.#receivedBytes = remaining.length;
+		this.#setReceivedBytes(remaining.length);
+	}
+
+	#setReceivedBytes(bytes: number): void {
+		this.#memory?.add(bytes - this.#receivedBytes);
+		this.#receivedBytes = bytes;
 	}
 
 	#handleMessage(bytes: Uint8Array): void {
@@ -355,6 +376,8 @@
 		this.#isClosed = true;
 		this.#livenessTimer?.cancel();
 		this.#unsentMessages = [];
+		this.#receivedChunks = [];
+		this.#memory?.close();
 		this.#handlers.onClosed(error);
 	}
 }
--- a/packages/transport/src/frame-listener/index.ts
+++ b/packages/transport/src/frame-listener/index.ts
@@ -1,35 +1,55 @@
 /**
-Listens for frame connections and closes them on shutdown.
+Listens for frame connections and closes them on shutdown. Where peers have to
+authenticate themselves, one that has not may send one small message and has a few
+seconds for it.
 */
 
-import {createServer, type Server} from 'node:net';
+import {createServer, type Server, type Socket} from 'node:net';
+import {bytesInKibibyte, type Timer} from '@fireflyglade/model';
 import {listenOn} from '../_lib/listen-on.js';
 import {FrameConnection, type FrameConnectionHandlers, type FrameConnectionOptions} from '../frame-connection/index.js';
+import type {MemoryShare} from '../memory-budget/index.js';
+import {createProcessResources, type ProcessResources} from '../process-resources/index.js';
 
-/** Creates the handlers of a new connection. Its argument returns the connection and may be called only after this function has returned. */
-export type AcceptConnection = (connection: () => FrameConnection) => FrameConnectionHandlers;
+/** What a listener knows of a connection. */
+export type AcceptedPeer = {
+	/** The memory that the connection holds. */
+	readonly memory: MemoryShare;
+	/** True if what all connections of the process hold is within its limit. */
+	hasRoom(): boolean;
+	/** Accepts larger messages and the connection for longer, since the peer has authenticated itself. */
+	trust(): void;
+};
+
+/** Creates the handlers of a new connection. Its first argument returns the connection and may be called only after this function has returned. */
+export type AcceptConnection = (connection: () => FrameConnection, peer: AcceptedPeer) => FrameConnectionHandlers;
+
+/** Options of a listener. */
+export type FrameListenerOptions = Omit<FrameConnectionOptions, 'memory' | 'maximumGreetingBytes'> & {
+	/** True if each peer has to authenticate itself with its first message. */
+	readonly mustAuthenticate?: boolean;
+	/** What the listeners of the process share; the listener has resources of its own if absent. */
+	readonly resources?: ProcessResources;
+};
+
+/** A greeting has a token. */
+const maximumGreetingBytes = 4 * bytesInKibibyte;
+const greetingTimeoutMilliseconds = 5000;
 
 /** Listens for frame connections, which carry many small messages. */
 export class FrameListener {
 	readonly #server: Server;
+	readonly #accept: AcceptConnection;
+	readonly #options: FrameListenerOptions;
+	readonly #resources: ProcessResources;
 	readonly #connections = new Set<FrameConnection>();
 
-	constructor(accept: AcceptConnection, options: FrameConnectionOptions) {
+	constructor(accept: AcceptConnection, options: FrameListenerOptions) {
+		this.#accept = accept;
+		this.#options = options;
+		this.#resources = options.resources ?? createProcessResources();
 		this.#server = createServer({noDelay: true}, socket => {
-			const handlers = accept(() => connection);
-			const connection: FrameConnection = new FrameConnection(socket, {
-				onMessage(message) {
-					handlers.onMessage(message);
-				},
-				onDrain() {
-					handlers.onDrain?.();
-				},
-				onClosed: error => {
-					this.#connections.delete(connection);
-					handlers.onClosed(error);
-				},
-			}, options);
-			this.#connections.add(connection);
+			this.#open(socket);
 		});
 	}
 
@@ -45,4 +65,38 @@
 			connection.close();
 		}
 	}
+
+	#open(socket: Socket): void {
+		const memory = this.#resources.memory.open();
+		const timer = this.#startGreetingTimer(() => {
+			connection.destroy();
+		});
+		const handlers = this.#accept(() => connection, {
+			memory,
+			hasRoom: () => this.#resources.memory.hasRoom(0),
+			trust() {
+				timer?.cancel();
+				connection.trustPeer();
+			},
+		});
+		const connection: FrameConnection = new FrameConnection(socket, {
+			onMessage(message) {
+				handlers.onMessage(message);
+			},
+			onDrain() {
+				handlers.onDrain?.();
+			},
+			onClosed: error => {
+				timer?.cancel();
+				this.#connections.delete(connection);
+				handlers.onClosed(error);
+			},
+		}, {...this.#options, memory, ...(timer === undefined ? {} : {maximumGreetingBytes})});
+		this.#connections.add(connection);
+	}
+
+	/** Limits the time that a peer has to authenticate itself, if it must. */
+	#startGreetingTimer(close: () => void): Timer | undefined {
+		return this.#options.mustAuthenticate === true ? this.#options.clock.startTimer(greetingTimeoutMilliseconds, close) : undefined;
+	}
 }
--- a/packages/transport/src/frame-rpc-server/index.ts
+++ b/packages/transport/src/frame-rpc-server/index.ts
@@ -8,8 +8,9 @@
 import {frameRpcKinds as kinds, maximumFrameRpcBytes} from '../_lib/frame-rpc-wire.js';
 import {methodPath} from '../_lib/rpc-wire.js';
 import type {FrameConnection, FrameConnectionHandlers} from '../frame-connection/index.js';
-import {FrameListener} from '../frame-listener/index.js';
+import {FrameListener, type AcceptedPeer} from '../frame-listener/index.js';
 import {decodeMessage, encodeMessage} from '../message-codec/index.js';
+import type {ProcessResources} from '../process-resources/index.js';
 import type {RpcFailure} from '../rpc-error/index.js';
 import type {RpcMethod, RpcServer} from '../types.js';
 
@@ -18,6 +19,14 @@
 const shutdownTimeoutMilliseconds = 1000;
 const shutdownPollIntervalMilliseconds = 5;
 
+/** Options of a server of remote calls. */
+export type FrameRpcServerOptions = {
+	/** Called for each malformed message, to log it. */
+	readonly onMessageError?: (error: Error) => void;
+	/** What the listeners of the process share; resources of its own if absent. */
+	readonly resources?: ProcessResources;
+};
+
 /** A server of remote calls over frame connections. */
 export class FrameRpcServer implements RpcServer {
 	readonly #clock: Clock;
@@ -26,11 +35,11 @@
 	readonly #listener: FrameListener;
 	#runningCalls = 0;
 
-	constructor(token: string, clock: Clock, onMessageError?: (error: Error) => void) {
+	constructor(token: string, clock: Clock, {onMessageError, resources}: FrameRpcServerOptions = {}) {
 		this.#clock = clock;
 		this.#tokenDigest = digest(token);
-		this.#listener = new FrameListener(connection => this.#accept(connection), {
-			clock, maximumMessageBytes: maximumFrameRpcBytes, ...(onMessageError === undefined ? {} : {onMessageError}),
+		this.#listener = new FrameListener((connection, peer) => this.#accept(connection, peer), {
+			clock, mustAuthenticate: true, maximumMessageBytes: maximumFrameRpcBytes, ...(onMessageError === undefined ? {} : {onMessageError}), ...(resources === undefined ? {} : {resources}),
 		});
 	}
 
@@ -54,7 +63,7 @@
 		this.#listener.close();
 	}
 
-	#accept(connection: () => FrameConnection): FrameConnectionHandlers {
+	#accept(connection: () => FrameConnection, peer: AcceptedPeer): FrameConnectionHandlers {
 		let isAuthenticated = false;
 		return {
 			onMessage: message => {
@@ -65,10 +74,13 @@
 
 				const [kind, token] = message;
 				isAuthenticated = kind === kinds.hello && typeof token === 'string' && timingSafeEqual(digest(token), this.#tokenDigest);
-				if (!isAuthenticated) {
-					connection().send([kinds.unauthenticated]);
-					connection().close();
+				if (isAuthenticated) {
+					peer.trust();
+					return;
 				}
+
+				connection().send([kinds.unauthenticated]);
+				connection().close();
 			},
 			onClosed() {
 				// Running handlers are not cancelled; their responses are discarded.
