Bound the part of an answer that is on its way between nodes

Cause: the gate sends until a pause reaches it, by then over a megabyte of each answer; and an answer that waits for its turn was taken in until its buffer was over the limit, and counted nowhere. Change: with its greeting an entry node states a window of 128 KiB; the gate sends no more of an answer until it is resumed. Older peers ignore the window or state none. An answer that waits for its turn is paused at its first part, and what waits is counted.

--- a/packages/node/src/_lib/channel-gates/index.ts
+++ b/packages/node/src/_lib/channel-gates/index.ts
@@ -19,7 +19,7 @@
 } from '../gate-inquiry/index.js';
 import {maximumBufferedBodyBytes} from '../request-body/index.js';
 import {
-	FieldDecoder, FieldEncoder, peerMessageKinds as kinds, decodeGateAnswer, encodeCall, type EncodedFields,
+	FieldDecoder, FieldEncoder, peerMessageKinds as kinds, responseWindowBytes, decodeGateAnswer, encodeCall, type EncodedFields,
 } from '../peer-messages/index.js';
 
 /** Options of `ChannelGates`. */
@@ -113,7 +113,7 @@
 				}
 			},
 		}, options);
-		this.#connection.send([kinds.hello, options.token]);
+		this.#connection.send([kinds.hello, options.token, responseWindowBytes]);
 	}
 
 	get isClosed(): boolean {
@@ -198,6 +198,8 @@
 	readonly #decoder: FieldDecoder;
 	#isAnswered = false;
 	#isPaused = false;
+	/** Bytes that were passed on since the gate was last told to go on. */
+	#passedBytes = 0;
 
 	constructor(sent: SentCall, flow: ResponseFlow, decoder: FieldDecoder) {
 		this.#decoder = decoder;
@@ -219,6 +221,7 @@
 				this.#receiver.onHead(answer.head, this, answer.metadata);
 				if (answer.bytes !== undefined) {
 					this.#receiver.onData(answer.bytes);
+					this.#passedBytes += answer.bytes.byteLength;
 				}
 
 				if (answer.isWhole) {
@@ -230,6 +233,7 @@
 
 			case 'data': {
 				this.#receiver.onData(answer.bytes);
+				this.#reopenWindow(answer.bytes.byteLength);
 				return false;
 			}
 
@@ -262,6 +266,16 @@
 	resume(): void {
 		if (this.#isPaused) {
 			this.#isPaused = false;
+			this.#passedBytes = 0;
+			this.#flow.resume();
+		}
+	}
+
+	/** Lets the gate go on once half of the window was passed on. While the receiver has paused the response, the gate waits. */
+	#reopenWindow(bytes: number): void {
+		this.#passedBytes += bytes;
+		if (!this.#isPaused && this.#passedBytes >= responseWindowBytes / 2) {
+			this.#passedBytes = 0;
 			this.#flow.resume();
 		}
 	}
--- a/packages/node/src/_lib/peer-messages/index.ts
+++ b/packages/node/src/_lib/peer-messages/index.ts
@@ -8,7 +8,7 @@
 */
 
 import {
-	InvalidInputError, maximumWorkClass, type Problem, type ProblemCode, type RequestId, type ServiceName, type TeamName,
+	bytesInKibibyte, InvalidInputError, maximumWorkClass, type Problem, type ProblemCode, type RequestId, type ServiceName, type TeamName,
 } from '@fireflyglade/model';
 import type {HeaderFields, ResponseHead} from '@fireflyglade/transport';
 import type {GateMetadata} from '../call-types.js';
@@ -18,7 +18,7 @@
 
 /** The kinds of messages. The comments list the parts after the kind; `number` identifies the call on its connection. */
 export const peerMessageKinds = {
-	/** From the entry node, as the first message: the fleet's secret. */
+	/** From the entry node, as the first message: the fleet's secret, and the window of each response in bytes. A gate sends no more of a response until the entry node resumes it; without a window, until it pauses it. */
 	hello: 2,
 	/** From the entry node: number, call, traceparent, method, path, fields, body or null. */
 	request: 3,
@@ -40,6 +40,9 @@
 	broken: 11,
 } as const;
 
+/** Bytes of a response that a gate sends before the entry node says that it has passed on half of them (flow control). */
+export const responseWindowBytes = 128 * bytesInKibibyte;
+
 /** Number of field names that a connection indexes in each direction. */
 const maximumIndexedNames = 256;
 
--- a/packages/node/src/channel-listener/index.ts
+++ b/packages/node/src/channel-listener/index.ts
@@ -52,6 +52,8 @@
 	readonly #decoder = new FieldDecoder();
 	readonly #encoder = new FieldEncoder();
 	#isAuthenticated = false;
+	/** Bytes of a response that the entry node takes before it says that it has passed them on. */
+	#windowBytes = Number.POSITIVE_INFINITY;
 
 	constructor({connection, peer}: AcceptedConnection, options: ChannelListenerOptions, secretVerifier: SecretVerifier) {
 		this.#connection = connection;
@@ -63,6 +65,7 @@
 	onMessage(message: readonly unknown[]): void {
 		const [kind, value] = message;
 		if (!this.#isAuthenticated) {
+			this.#windowBytes = typeof message[2] === 'number' ? message[2] : Number.POSITIVE_INFINITY;
 			this.#authenticate(kind === kinds.hello && typeof value === 'string' && this.#secretVerifier.matches(value));
 			return;
 		}
@@ -127,7 +130,7 @@
 		const headers = this.#decoder.decodeList(fields);
 		const call = decodeCall(encodedCall);
 		const heldBytes = measureCall(path, headers, body);
-		const answer = new PeerCallAnswer(number, {connection: this.#connection(), encoder: this.#encoder, heldBytes}, () => {
+		const answer = new PeerCallAnswer(number, {connection: this.#connection(), encoder: this.#encoder, heldBytes, windowBytes: this.#windowBytes}, () => {
 			this.#forget(number);
 		});
 		this.#calls.set(number, answer);
@@ -180,6 +183,8 @@
 	readonly encoder: FieldEncoder;
 	/** Bytes that the call occupies. */
 	readonly heldBytes: number;
+	/** Bytes of the response that may be sent before the entry node resumes it. */
+	readonly windowBytes: number;
 };
 
 /** Forwards the answer to one call to the entry node. */
@@ -195,16 +200,20 @@
 	#isConnectionFull = false;
 	/** True while the entry node has paused this answer. */
 	#isPausedByEntryNode = false;
+	readonly #windowBytes: number;
+	/** Bytes that were sent since the entry node last resumed this answer. */
+	#sentBytes = 0;
 	/** The head message, as long as the first data and the end can be added to it before it is flushed. */
 	#head: unknown[] | undefined;
 	/** The flush count of the connection when the head was sent. */
 	#flushCountAtHead = 0;
 
-	constructor(number: number, {connection, encoder, heldBytes}: AnswerChannel, onEnded: () => void) {
+	constructor(number: number, {connection, encoder, heldBytes, windowBytes}: AnswerChannel, onEnded: () => void) {
 		this.#number = number;
 		this.#connection = connection;
 		this.#encoder = encoder;
 		this.heldBytes = heldBytes;
+		this.#windowBytes = windowBytes;
 		this.#onEnded = onEnded;
 	}
 
@@ -216,6 +225,11 @@
 	}
 
 	onData(chunk: Uint8Array): void {
+		this.#sentBytes += chunk.byteLength;
+		if (this.#isWindowFull()) {
+			this.#flow?.pause();
+		}
+
 		const head = this.#unsentHead();
 		if (head?.length === headOnlyLength) {
 			head.push(Buffer.from(chunk));
@@ -260,6 +274,7 @@
 	/** Resumes the answer at the request of the entry node. */
 	resume(): void {
 		this.#isPausedByEntryNode = false;
+		this.#sentBytes = 0;
 		if (!this.#isConnectionFull) {
 			this.#flow?.resume();
 		}
@@ -272,11 +287,15 @@
 		}
 
 		this.#isConnectionFull = false;
-		if (!this.#isPausedByEntryNode) {
+		if (!this.#isPausedByEntryNode && !this.#isWindowFull()) {
 			this.#flow?.resume();
 		}
 	}
 
+	#isWindowFull(): boolean {
+		return this.#sentBytes >= this.#windowBytes;
+	}
+
 	/** Returns the head message if it has not been flushed and no later message was sent. */
 	#unsentHead(): unknown[] | undefined {
 		if (this.#head !== undefined && this.#connection.flushCount !== this.#flushCountAtHead) {
--- a/packages/transport/src/_lib/request-memory/index.ts
+++ b/packages/transport/src/_lib/request-memory/index.ts
@@ -13,6 +13,8 @@
 	readonly #share: MemoryShare;
 	readonly #budget: MemoryBudget;
 	#bytes = 0;
+	/** The part of them that is an answer. */
+	#answerBytes = 0;
 	#refuse: (() => void) | undefined;
 
 	constructor(share: MemoryShare, budget: MemoryBudget) {
@@ -27,6 +29,12 @@
 		return this.#bytes <= ordinaryBytes || !this.#budget.isTight;
 	}
 
+	/** Sets the bytes of the answer that wait for its turn or for the caller. */
+	setAnswerBytes(bytes: number): void {
+		this.hold(bytes - this.#answerBytes);
+		this.#answerBytes = bytes;
+	}
+
 	/** Calls back once memory doesn't run short any more. Returns a function that cancels this. */
 	whenRelieved(resume: () => void): () => void {
 		return this.#budget.whenRelieved(resume);
--- a/packages/transport/src/http-response/index.ts
+++ b/packages/transport/src/http-response/index.ts
@@ -7,6 +7,7 @@
 import {
 	formatProblem, millisecondsInSecond, problemMediaType, getProblemStatus, type Problem,
 } from '@fireflyglade/model';
+import {findRequestMemory} from '../_lib/request-backlog/index.js';
 import {selectResponseFields} from '../http-fields/index.js';
 import type {ResponseFlow, ResponseHead, HeaderFields} from '../http-types/index.js';
 
@@ -135,19 +136,29 @@
 	}
 
 	#write(chunk: Uint8Array): void {
-		if (this.#response.write(chunk)) {
+		const response = this.#response;
+		const isCongested = !response.write(chunk);
+		// Behind another response, it waits for its turn.
+		if (!isCongested && response.socket !== null) {
 			return;
 		}
 
 		this.#flow?.pause();
+		findRequestMemory(response)?.setAnswerBytes(response.writableLength);
 		if (this.#hasDrainListener) {
 			return;
 		}
 
 		this.#hasDrainListener = true;
-		this.#response.on('drain', () => {
+		const resume = (): void => {
+			findRequestMemory(response)?.setAnswerBytes(0);
 			this.#flow?.resume();
-		});
+		};
+
+		response.on('drain', resume);
+		if (!isCongested) {
+			response.once('socket', resume);
+		}
 	}
 }
 
