Let clients read the refusal of a request that they still send

What callers saw: some of 12 clients that send a body far over the limit see a reset in place of status 413. Cause: the connection closed right behind the answer with unread bytes, so that the system discarded the answer; and after status 413 in the middle of a chunked body the rest was read for up to 5 s. Change: such a connection ends its side, discards up to 1 MiB for up to 1 s, and then closes. A body beyond the limit closes it too.

--- a/packages/node/src/_lib/final-response/index.ts
+++ b/packages/node/src/_lib/final-response/index.ts
@@ -55,6 +55,11 @@
 	}
 
 	onProblem(problem: Problem): void {
+		if (problem.code === 'body-too-large') {
+			// The rest of the body is not read.
+			this.#response.shouldKeepAlive = false;
+		}
+
 		writeProblem(this.#response, problem, createProblemFields(this.#interface, problem));
 		this.#end({kind: 'problem', problem, status: getProblemStatus(problem)});
 	}
--- a/packages/transport/src/_lib/request-backlog/index.ts
+++ b/packages/transport/src/_lib/request-backlog/index.ts
@@ -20,7 +20,7 @@
 
 import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {bytesInKibibyte} from '@fireflyglade/model';
+import {bytesInKibibyte, bytesInMebibyte} from '@fireflyglade/model';
 import {defaultRequestBacklogLimits, type RequestBacklogLimits} from '@fireflyglade/settings';
 import type {MemoryBudget, MemoryShare} from '../../memory-budget/index.js';
 import {gatherSmallChunks, type GatheredChunks} from '../gather-small-chunks/index.js';
@@ -38,6 +38,10 @@
 /** Memory that the body of one request takes at most: the start that is kept for another attempt, and one read beyond it. Longer bodies pass through. */
 const maximumBytesPerBody = 128 * bytesInKibibyte;
 
+/** Bytes that are discarded of a connection that closes, and the time for its caller to read the last response. */
+const maximumDiscardedBytes = bytesInMebibyte;
+const lingerMilliseconds = 1000;
+
 /** Share of the memory that the heads of all connections of a listener may occupy; if they could occupy more, connections are read in pieces, so that unfinished heads are counted. */
 const headShare = 0.5;
 /** Memory of the objects that the runtime creates for a request. */
@@ -177,6 +181,7 @@
 	/** True while the connection is not read because of its unanswered requests. */
 	#isWaitingForAnswers = false;
 	#isDiscarding = false;
+	#discardedBytes = 0;
 
 	constructor(socket: Socket, total: RequestBacklog, handlers: ConnectionHandlers) {
 		this.#socket = socket;
@@ -274,12 +279,31 @@
 		}
 	}
 
+	/** True if a part of the last request has not been read. */
+	get hasUnreadBody(): boolean {
+		return this.#last?.complete === false;
+	}
+
 	/** Reads no further request from the connection, which closes after a response that has been announced as its last one. */
 	discard(): void {
 		this.#isDiscarding = true;
 		this.readInPieces();
 	}
 
+	/** Discards what the caller still sends, so that its system doesn't discard the last response with the rest of the request, and closes the connection after a while. Little is read for this. */
+	linger(): void {
+		const socket = this.#socket;
+		this.discard();
+		socket.end();
+		socket.resume();
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMilliseconds);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
 	/** Takes the place of the HTTP server's listener for the data of the socket, from the next read on. */
 	readInPieces(): void {
 		this.#total.takeFromServer(this);
@@ -324,6 +348,11 @@
 
 	#receive(chunk: Uint8Array): void {
 		this.#setWaitingBytes(0);
+		if (this.#isDiscarding) {
+			this.#countDiscarded(chunk.byteLength);
+			return;
+		}
+
 		let offset = 0;
 		while (offset < chunk.byteLength && !this.#isDiscarding && !this.#socket.destroyed) {
 			// The HTTP server pauses the socket while the caller does not take in its answers.
@@ -341,6 +370,14 @@
 		}
 	}
 
+	/** Stops reading once much was discarded. */
+	#countDiscarded(bytes: number): void {
+		this.#discardedBytes += bytes;
+		if (this.#discardedBytes > maximumDiscardedBytes) {
+			this.#socket.pause();
+		}
+	}
+
 	/** Gives a piece to the parser, and counts what it holds of an unfinished head or unfinished trailers. */
 	#parsePiece(piece: Uint8Array): void {
 		const last = this.#last;
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -7,7 +7,7 @@
 	createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
-import {Server as TcpServer, type Socket} from 'node:net';
+import {Server as TcpServer, Socket} from 'node:net';
 import process from 'node:process';
 import {
 	formatProblem, httpStatusByProblemCode, type Problem, type ProblemCode,
@@ -216,6 +216,10 @@
 			},
 		});
 		this.#backlogs.set(socket, backlog);
+		socket.destroySoon = () => {
+			closeAfterResponse(socket, backlog);
+		};
+
 		if (socket.writableEnded) {
 			// The connection was refused. A request on it must not run, since the caller is told so.
 			backlog.discard();
@@ -284,13 +288,13 @@
 		const earlier = last?.req.complete === false ? responses.at(-2) : last;
 		const mayHaveRun = last !== earlier;
 		if (earlier === undefined || !socket.writable) {
-			sendProblemAndClose(error, socket, mayHaveRun);
+			sendProblemAndClose(error, {socket, backlog, mayHaveRun});
 			return;
 		}
 
 		earlier.once('close', () => {
 			if (!mayHaveRun) {
-				sendProblemAndClose(error, socket, mayHaveRun);
+				sendProblemAndClose(error, {socket, backlog, mayHaveRun});
 				return;
 			}
 
@@ -338,21 +342,39 @@
 	});
 }
 
+/** Closes a connection once its last response is sent. If its caller still sends a request, the close waits until the caller can have read the response. */
+function closeAfterResponse(socket: Socket, backlog: ConnectionBacklog): void {
+	if (backlog.hasUnreadBody) {
+		backlog.linger();
+		return;
+	}
+
+	Socket.prototype.destroySoon.call(socket);
+}
+
 /** Sends a problem on a connection that has no request, and closes it. */
 function endWithProblem(socket: Socket, problem: Problem): void {
 	socket.end(formatRawProblem(problem));
 	socket.destroySoon();
 }
 
-function sendProblemAndClose(error: NodeJS.ErrnoException, socket: Socket, mayHaveRun: boolean): void {
+function sendProblemAndClose(error: NodeJS.ErrnoException, {socket, backlog, mayHaveRun}: RefusedRequest): void {
 	if (!socket.writable || error.code === 'ECONNRESET') {
 		socket.destroy();
 		return;
 	}
 
 	socket.end(formatRawProblem(createClientProblem(error.code, mayHaveRun)));
+	backlog?.linger();
 }
 
+/** A request that is not well-formed, on its connection. */
+type RefusedRequest = {
+	readonly socket: Socket;
+	readonly backlog: ConnectionBacklog | undefined;
+	readonly mayHaveRun: boolean;
+};
+
 function createClientProblem(code: string | undefined, mayHaveRun: boolean): Problem {
 	if (code === 'HPE_HEADER_OVERFLOW') {
 		return {code: 'header-too-large', outcome: 'not-run', detail: 'the header fields are too large'};
