Leave descriptors free of crowds

What callers saw: 500 idle connections take all of 400 descriptors, at the listener for callers, the gate or the one for remote calls. Cause: the limits on connections didn't follow from the descriptors, and the listener for remote calls had none. At the limit the connection that has been idle for the longest time, or has not authenticated itself, makes room for a new one.

--- a/packages/transport/src/_lib/request-backlog/index.ts
+++ b/packages/transport/src/_lib/request-backlog/index.ts
@@ -200,6 +200,16 @@
 		});
 	}
 
+	/** True while no request of the connection is unanswered; the head of one may have begun. */
+	get isIdle(): boolean {
+		return this.#unanswered.size === 0;
+	}
+
+	/** Monotonic milliseconds at which the connection was opened or a request of it was last read. */
+	get lastUsedAt(): number {
+		return this.#memory.movedAt;
+	}
+
 	/** The responses to unanswered requests, in the order of the requests. */
 	get responses(): Iterable<ServerResponse> {
 		return this.#unanswered.keys();
--- a/packages/transport/src/frame-listener/index.ts
+++ b/packages/transport/src/frame-listener/index.ts
@@ -43,13 +43,15 @@
 	readonly #options: FrameListenerOptions;
 	readonly #resources: ProcessResources;
 	readonly #connections = new Set<FrameConnection>();
+	/** Connections whose peers have to authenticate themselves, the oldest first. */
+	readonly #unknownPeers = new Set<FrameConnection>();
 
 	constructor(accept: AcceptConnection, options: FrameListenerOptions) {
 		this.#accept = accept;
 		this.#options = options;
 		this.#resources = options.resources ?? createProcessResources();
 		this.#server = createServer({noDelay: true}, socket => {
-			this.#open(socket);
+			this.#admit(socket);
 		});
 	}
 
@@ -66,6 +68,27 @@
 		}
 	}
 
+	/** Refuses a connection if there are too many, unless one whose peer has not authenticated itself can be closed for it. */
+	#admit(socket: Socket): void {
+		const {connections} = this.#resources;
+		const isFull = this.#connections.size >= connections.maximumPerListener || connections.isFull;
+		const [unknown] = this.#unknownPeers;
+		if (isFull && unknown === undefined) {
+			socket.destroy();
+			return;
+		}
+
+		if (isFull) {
+			unknown!.destroy();
+		}
+
+		connections.open();
+		socket.once('close', () => {
+			connections.close();
+		});
+		this.#open(socket);
+	}
+
 	#open(socket: Socket): void {
 		const memory = this.#resources.memory.open();
 		const timer = this.#startGreetingTimer(() => {
@@ -74,7 +97,8 @@
 		const handlers = this.#accept(() => connection, {
 			memory,
 			hasRoom: () => this.#resources.memory.hasRoom(0),
-			trust() {
+			trust: () => {
+				this.#unknownPeers.delete(connection);
 				timer?.cancel();
 				connection.trustPeer();
 			},
@@ -89,10 +113,14 @@
 			onClosed: error => {
 				timer?.cancel();
 				this.#connections.delete(connection);
+				this.#unknownPeers.delete(connection);
 				handlers.onClosed(error);
 			},
 		}, {...this.#options, memory, ...(timer === undefined ? {} : {maximumGreetingBytes})});
 		this.#connections.add(connection);
+		if (timer !== undefined) {
+			this.#unknownPeers.add(connection);
+		}
 	}
 
 	/** Limits the time that a peer has to authenticate itself, if it must. */
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -15,6 +15,7 @@
 import type {RequestBacklogLimits} from '@fireflyglade/settings';
 import {listenOn} from '../_lib/listen-on.js';
 import {ConnectionBacklog, RequestBacklog} from '../_lib/request-backlog/index.js';
+import type {ConnectionBudget} from '../connection-budget/index.js';
 import {problemFields, writeProblem} from '../http-response/index.js';
 import type {MutualTlsCredentials} from '../http-types/index.js';
 import {createProcessResources, type ProcessResources} from '../process-resources/index.js';
@@ -51,6 +52,7 @@
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	readonly #backlog: RequestBacklog;
+	readonly #connections: ConnectionBudget;
 	/** Requests in progress on each connection; more than one if the caller uses pipelining. */
 	readonly #backlogs = new WeakMap<Socket, ConnectionBacklog>();
 	/** Responses that close their connection only because the listener closes. */
@@ -63,7 +65,9 @@
 	constructor(handler: RequestListener, options: HttpListenerOptions) {
 		this.#handler = handler;
 		this.#options = options;
-		this.#backlog = new RequestBacklog(options, (options.resources ?? createProcessResources()).memory);
+		const {memory, connections} = options.resources ?? createProcessResources();
+		this.#backlog = new RequestBacklog(options, memory);
+		this.#connections = connections;
 		const {mutualTls} = options;
 		const serverOptions: ServerOptions = {
 			maxHeaderSize: options.maximumHeaderBytes,
@@ -309,16 +313,46 @@
 	}
 
 	#admitConnection(socket: Socket): void {
-		if (this.#sockets.size >= this.#options.maximumConnections) {
+		if (this.#isFull() && !this.#closeIdle()) {
 			endWithProblem(socket, {...overloadedProblem, detail: 'too many connections'});
 			return;
 		}
 
 		this.#sockets.add(socket);
+		this.#connections.open();
 		socket.once('close', () => {
-			this.#sockets.delete(socket);
+			this.#forget(socket);
 		});
 	}
+
+	#isFull(): boolean {
+		return this.#sockets.size >= Math.min(this.#options.maximumConnections, this.#connections.maximumPerListener) || this.#connections.isFull;
+	}
+
+	#forget(socket: Socket): void {
+		if (this.#sockets.delete(socket)) {
+			this.#connections.close();
+		}
+	}
+
+	/** Closes the connection that has been idle for the longest time. Returns false if there is none. */
+	#closeIdle(): boolean {
+		let longest: {readonly socket: Socket; readonly lastUsedAt: number} | undefined;
+		for (const socket of this.#sockets) {
+			const backlog = this.#backlogs.get(socket);
+			if (backlog?.isIdle === true && (longest === undefined || backlog.lastUsedAt < longest.lastUsedAt)) {
+				longest = {socket, lastUsedAt: backlog.lastUsedAt};
+			}
+		}
+
+		if (longest === undefined) {
+			return false;
+		}
+
+		this.#forget(longest.socket);
+		longest.socket.destroy();
+		return true;
+	}
 }
 
 function createTimeoutOptions(requestTimeoutMilliseconds: number | undefined): ServerOptions {
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,6 +2,7 @@
 RPC between the system's processes, frame connections, and HTTP listeners and senders.
 */
 
+export * from './connection-budget/index.js';
 export * from './create-rpc/index.js';
 export * from './frame-connection/index.js';
 export * from './frame-listener/index.js';
