Settle the account where requests, listeners and nodes meet

Cause: read as a whole, the parts counted a body of known length as a head once it was complete, counted a body on after its answer, parsed tiny pieces whenever memory ran short, and closed connections that had just been opened; a refusal of the gate's listener looked like an answer of the upstream.

--- a/packages/node/src/_lib/channel-gates/index.ts
+++ b/packages/node/src/_lib/channel-gates/index.ts
@@ -271,15 +271,6 @@
 		}
 	}
 
-	/** Lets the gate go on once half of the window was passed on. While the receiver has paused the response, the gate waits. */
-	#reopenWindow(bytes: number): void {
-		this.#passedBytes += bytes;
-		if (!this.#isPaused && this.#passedBytes >= responseWindowBytes / 2) {
-			this.#passedBytes = 0;
-			this.#flow.resume();
-		}
-	}
-
 	/** Ends the call after the connection was lost. Asks the gate for the outcome if the call may have run. */
 	handleConnectionLoss(wasConnected: boolean, options: GateInquiryOptions): void {
 		if (this.#isAnswered) {
@@ -294,4 +285,13 @@
 
 		void reportBrokenCall({...this.#sent, isCancelled: () => this.isCancelled}, options);
 	}
+
+	/** Lets the gate go on once half of the window was passed on. While the receiver has paused the response, the gate waits. */
+	#reopenWindow(bytes: number): void {
+		this.#passedBytes += bytes;
+		if (!this.#isPaused && this.#passedBytes >= responseWindowBytes / 2) {
+			this.#passedBytes = 0;
+			this.#flow.resume();
+		}
+	}
 }
--- a/packages/node/src/channel-listener/index.ts
+++ b/packages/node/src/channel-listener/index.ts
@@ -130,7 +130,10 @@
 		const headers = this.#decoder.decodeList(fields);
 		const call = decodeCall(encodedCall);
 		const heldBytes = measureCall(path, headers, body);
-		const answer = new PeerCallAnswer(number, {connection: this.#connection(), encoder: this.#encoder, heldBytes, windowBytes: this.#windowBytes}, () => {
+		const channel = {
+			connection: this.#connection(), encoder: this.#encoder, heldBytes, windowBytes: this.#windowBytes,
+		};
+		const answer = new PeerCallAnswer(number, channel, () => {
 			this.#forget(number);
 		});
 		this.#calls.set(number, answer);
@@ -177,7 +180,7 @@
 /** Number of elements of a head message that contains no data and no end marker. */
 const headOnlyLength = 5;
 
-/** The connection and the field encoder that the answers on one connection share. */
+/** The connection and the field encoder that the answers on one connection share, and the limits of one answer. */
 type AnswerChannel = {
 	readonly connection: FrameConnection;
 	readonly encoder: FieldEncoder;
@@ -190,11 +193,11 @@
 /** Forwards the answer to one call to the entry node. */
 class PeerCallAnswer implements CallReceiver {
 	running: RunningCall | undefined;
+	readonly heldBytes: number;
 	#flow: ResponseFlow | undefined;
 	readonly #number: number;
 	readonly #connection: FrameConnection;
 	readonly #encoder: FieldEncoder;
-	readonly heldBytes: number;
 	readonly #onEnded: () => void;
 	/** True while the send buffer of the connection is full. */
 	#isConnectionFull = false;
@@ -208,12 +211,12 @@
 	/** The flush count of the connection when the head was sent. */
 	#flushCountAtHead = 0;
 
-	constructor(number: number, {connection, encoder, heldBytes, windowBytes}: AnswerChannel, onEnded: () => void) {
+	constructor(number: number, channel: AnswerChannel, onEnded: () => void) {
 		this.#number = number;
-		this.#connection = connection;
-		this.#encoder = encoder;
-		this.heldBytes = heldBytes;
-		this.#windowBytes = windowBytes;
+		this.#connection = channel.connection;
+		this.#encoder = channel.encoder;
+		this.heldBytes = channel.heldBytes;
+		this.#windowBytes = channel.windowBytes;
 		this.#onEnded = onEnded;
 	}
 
--- a/packages/node/src/channel-listener/test.ts
+++ b/packages/node/src/channel-listener/test.ts
@@ -35,6 +35,7 @@
 	const clock = new SystemClock();
 	let calls: RunCall[];
 	let listener: FrameListener;
+	let address: string;
 	let socket: Socket;
 	let entry: FrameConnection;
 
@@ -53,7 +54,8 @@
 			},
 		};
 		listener = createChannelListener({gate: gate as Gate, token: fleetToken, clock});
-		const {host, port} = parseAddress(await listener.listen('127.0.0.1:0'));
+		address = await listener.listen('127.0.0.1:0');
+		const {host, port} = parseAddress(address);
 		socket = connect(port, host);
 		entry = new FrameConnection(socket, {
 			onMessage() {
@@ -119,4 +121,30 @@
 		socket.resume();
 		await waitUntil(() => !calls[0]!.flow.isPaused);
 	});
+
+	// Guards against: an entry node receives far more of an answer than its caller takes before its pause reaches the gate.
+	it('sends no more than the window of the entry node before that resumes the answer', async () => {
+		entry.destroy();
+		calls = [];
+		const {host, port} = parseAddress(address);
+		entry = new FrameConnection(connect(port, host), {
+			onMessage() {
+				// The test checks only the flow control.
+			},
+			onClosed() {
+				// The connection is closed by afterEach.
+			},
+		}, {clock});
+		entry.send([kinds.hello, fleetToken, 2 * chunk.byteLength]);
+		await call(1);
+		const [{flow, receiver}] = calls as [RunCall];
+		receiver.onData(chunk);
+		expect(flow.isPaused).to.equal(false);
+		receiver.onData(chunk);
+		expect(flow.isPaused).to.equal(true);
+		entry.send([kinds.resume, 1]);
+		await waitUntil(() => !flow.isPaused);
+		receiver.onData(chunk);
+		expect(flow.isPaused).to.equal(false);
+	});
 });
--- a/packages/node/src/create-node/index.ts
+++ b/packages/node/src/create-node/index.ts
@@ -16,7 +16,7 @@
 import {AnnounceListener} from '../announce-listener/index.js';
 import type {NodeDependencies} from '../dependencies.js';
 import {createChannelListener} from '../channel-listener/index.js';
-import {GateListenerHandler} from '../gate-listener/index.js';
+import {GateListenerHandler, peerRefusalFields} from '../gate-listener/index.js';
 import {Gate} from '../gate/index.js';
 import {createStatusListener} from '../status-listener/index.js';
 import type {CallAttemptsOptions} from '../_lib/call-attempts/index.js';
@@ -118,7 +118,9 @@
 					dependencies.routing.setResponsive(target.upstream, isResponsive, dependencies.clock.now());
 				},
 			});
-			this.#channelListener = createChannelListener({...dependencies, resources, gate: this.#gate, token});
+			this.#channelListener = createChannelListener({
+				...dependencies, resources, gate: this.#gate, token,
+			});
 		}
 
 		const attempts: CallAttemptsOptions = {
@@ -174,7 +176,9 @@
 			}, {...settings.limits, resources}),
 			gate: new HttpListener((request, response) => {
 				gateHandler.handle(request, response);
-			}, {...internalListenerLimits, resources, ...(credentials.kind === 'mutual-tls' ? {mutualTls: credentials} : {})}),
+			}, {
+				...internalListenerLimits, resources, refusalFields: peerRefusalFields, ...(credentials.kind === 'mutual-tls' ? {mutualTls: credentials} : {}),
+			}),
 			egress: new HttpListener((request, response) => {
 				this.#egress.handle(request, response);
 			}, {...internalListenerLimits, resources}),
--- a/packages/node/src/gate-listener/index.ts
+++ b/packages/node/src/gate-listener/index.ts
@@ -10,7 +10,7 @@
 } from '@fireflyglade/model';
 import type {Fields} from '@fireflyglade/observability';
 import {
-	findRequestMemory, ResponseWriter, readWholeBody, selectRequestFields, writeProblem,
+	findRequestMemory, overloadedProblem, ResponseWriter, readWholeBody, runtimeBufferBytes, selectRequestFields, writeProblem,
 	type ResponseFlow, type ResponseHead, type FleetCredentials, type HeaderFields, type OutgoingBody,
 } from '@fireflyglade/transport';
 import type {Gate} from '../gate/index.js';
@@ -24,6 +24,11 @@
 } from '../_lib/peer-fields/index.js';
 import {readFraming, maximumBufferedBodyBytes} from '../_lib/request-body/index.js';
 
+/** Fields from which an entry node knows that the listener of the gate refused a call, and not the upstream. */
+export const peerRefusalFields: Readonly<Record<string, string>> = {
+	[problemField]: overloadedProblem.code, [retryAfterField]: String(overloadedProblem.retryAfterMilliseconds),
+};
+
 /** Options of the gate listener. */
 export type GateListenerOptions = {
 	readonly gate: Gate;
@@ -74,6 +79,7 @@
 			return;
 		}
 
+		findRequestMemory(response)?.hold(runtimeBufferBytes);
 		this.#run(call, request, response, {body: request, length: framing.kind === 'length' ? framing.length : undefined});
 	}
 
--- a/packages/transport/src/_lib/request-backlog/index.ts
+++ b/packages/transport/src/_lib/request-backlog/index.ts
@@ -83,7 +83,12 @@
 
 	/** True while no request may be read behind an unanswered one of the same connection. */
 	get isFull(): boolean {
-		return this.requests >= this.limits.maximumUnansweredRequests || this.bodyBytes >= this.limits.maximumUnansweredBodyBytes || this.memory.isTight;
+		return this.hasTooManyRequests || this.memory.isTight;
+	}
+
+	/** True while as many requests or bodies are unanswered as may be. */
+	get hasTooManyRequests(): boolean {
+		return this.requests >= this.limits.maximumUnansweredRequests || this.bodyBytes >= this.limits.maximumUnansweredBodyBytes;
 	}
 
 	/** Returns true if there is room for a body, for which a connection that has stalled is closed if need be. */
@@ -229,7 +234,7 @@
 			this.readInPieces();
 		}
 
-		if (size >= maximumPipelinedRequests && total.isFull) {
+		if (size >= maximumPipelinedRequests && total.hasTooManyRequests) {
 			this.#close();
 			return 'closed';
 		}
@@ -276,7 +281,7 @@
 		this.#unanswered.delete(response);
 		this.#total.requests -= 1;
 		this.#total.bodyBytes -= answered.bodyBytes;
-		answered.memory.release();
+		answered.memory.end();
 		const next = this.#waiting.shift();
 		if (next !== undefined) {
 			this.#handlers.run(next.request, next.response);
@@ -391,11 +396,12 @@
 	/** Gives a piece to the parser, and counts what it holds of an unfinished head or unfinished trailers. */
 	#parsePiece(piece: Uint8Array): void {
 		const last = this.#last;
+		const wasComplete = last?.complete;
 		const chunks = this.#lastChunks?.count;
 		this.#parse!(piece);
 		this.#parsedBytes += piece.byteLength;
 		const isBodyOfKnownLength = this.#last?.complete === false && this.#lastChunks === undefined;
-		const hasProgressed = this.#last !== last || this.#lastChunks?.count !== chunks;
+		const hasProgressed = this.#last !== last || last?.complete !== wasComplete || this.#lastChunks?.count !== chunks;
 		this.#setParserBytes(isBodyOfKnownLength || hasProgressed ? 0 : this.#parserBytes + piece.byteLength);
 	}
 
@@ -449,7 +455,7 @@
 	}
 
 	#getPieceLength(): number {
-		if (this.#total.isFull) {
+		if (this.#total.hasTooManyRequests) {
 			return Math.max(smallPieceBytes, this.#remainingBodyBytes);
 		}
 
--- a/packages/transport/src/_lib/request-memory/index.ts
+++ b/packages/transport/src/_lib/request-memory/index.ts
@@ -16,14 +16,19 @@
 	/** The part of them that is an answer. */
 	#answerBytes = 0;
 	#refuse: (() => void) | undefined;
+	#isAnswered = false;
 
 	constructor(share: MemoryShare, budget: MemoryBudget) {
 		this.#share = share;
 		this.#budget = budget;
 	}
 
-	/** Counts bytes that the request holds from now on. Returns false if no more of its body should be read until `whenRelieved` calls back. */
+	/** Counts bytes that the request holds from now on, until it is answered. Returns false if no more of its body should be read until `whenRelieved` calls back. */
 	hold(bytes: number): boolean {
+		if (this.#isAnswered) {
+			return true;
+		}
+
 		this.#bytes += bytes;
 		this.#share.add(bytes);
 		return this.#bytes <= ordinaryBytes || !this.#budget.isTight;
@@ -53,9 +58,14 @@
 		return refuse !== undefined;
 	}
 
-	/** Counts bytes that the request no longer holds; all of them if absent. */
-	release(bytes = this.#bytes): void {
-		this.#bytes -= bytes;
-		this.#share.add(-bytes);
+	/** Counts bytes that the request no longer holds. */
+	release(bytes: number): void {
+		this.hold(-bytes);
+	}
+
+	/** Stops counting, as the request is answered. */
+	end(): void {
+		this.#share.add(-this.#bytes);
+		this.#isAnswered = true;
 	}
 }
--- a/packages/transport/src/http-body/index.ts
+++ b/packages/transport/src/http-body/index.ts
@@ -100,15 +100,15 @@
 	release(bytes: number): void;
 };
 
-/** What the runtime holds of a body that it has read and that no reader has taken: one read. */
-const runtimeBufferBytes = 64 * bytesInKibibyte;
+/** What the runtime holds of a streamed body that it has read and that no reader has taken: one read. */
+export const runtimeBufferBytes = 64 * bytesInKibibyte;
 
 /** A body that is streamed from its source, with its start buffered up to a limit. */
 export class StreamedBody implements RequestBody {
 	readonly length: number | undefined;
 	readonly #source: AsyncIterator<Uint8Array>;
 	readonly #options: StreamedBodyOptions;
-	#bufferedChunks: Uint8Array[] = [];
+	readonly #bufferedChunks: Uint8Array[] = [];
 	#firstBufferedIndex = 0;
 	#bytesRead = 0;
 	#isSourceEnded = false;
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -32,6 +32,8 @@
 	readonly remainingBodyTimeoutMilliseconds?: number;
 	/** Accepts only clients with a certificate of the fleet's authority; plain HTTP if absent. */
 	readonly mutualTls?: MutualTlsCredentials;
+	/** Header fields that a refusal has beside those of its problem. */
+	readonly refusalFields?: Readonly<Record<string, string>>;
 	/** What all listeners of the process share; the listener has resources of its own if absent. */
 	readonly resources?: ProcessResources;
 } & Partial<RequestBacklogLimits>;
@@ -42,6 +44,8 @@
 /** Number of checks for timed-out requests within the time limit of a request. */
 const checksPerRequestTimeout = 2;
 const closePollIntervalMilliseconds = 20;
+/** Time for which a connection must have been idle to be closed for another one. */
+const minimumIdleMilliseconds = 1000;
 /** Refuses a request that was not sent to a target, because the process lacks memory for it. */
 export const overloadedProblem: Problem = {
 	code: 'overloaded', outcome: 'not-run', detail: 'the process lacks memory for the request', retryAfterMilliseconds: 1000,
@@ -176,7 +180,7 @@
 			this.#run(request, response);
 		} else if (decision === 'refuse') {
 			response.shouldKeepAlive = false;
-			writeProblem(response, {...overloadedProblem, detail: 'too many bodies of requests are in progress'});
+			writeProblem(response, {...overloadedProblem, detail: 'too many bodies of requests are in progress'}, this.#options.refusalFields);
 		}
 	}
 
@@ -216,7 +220,8 @@
 				this.#runAfterWait(request, response);
 			},
 			refuse() {
-				endWithProblem(socket, overloadedProblem);
+				socket.end(formatRawProblem(overloadedProblem));
+				backlog.linger();
 			},
 		});
 		this.#backlogs.set(socket, backlog);
@@ -335,12 +340,13 @@
 		}
 	}
 
-	/** Closes the connection that has been idle for the longest time. Returns false if there is none. */
+	/** Closes the connection that has been idle for the longest time. Returns false if none has been idle for some time. */
 	#closeIdle(): boolean {
+		const idleBefore = performance.now() - minimumIdleMilliseconds;
 		let longest: {readonly socket: Socket; readonly lastUsedAt: number} | undefined;
 		for (const socket of this.#sockets) {
 			const backlog = this.#backlogs.get(socket);
-			if (backlog?.isIdle === true && (longest === undefined || backlog.lastUsedAt < longest.lastUsedAt)) {
+			if (backlog?.isIdle === true && backlog.lastUsedAt < (longest?.lastUsedAt ?? idleBefore)) {
 				longest = {socket, lastUsedAt: backlog.lastUsedAt};
 			}
 		}
--- a/packages/transport/src/memory-budget/index.ts
+++ b/packages/transport/src/memory-budget/index.ts
@@ -21,7 +21,8 @@
 
 /** Room that is left for each body that reads on: about one read. */
 const resumedBytes = 64 * bytesInKibibyte;
-/** A share that holds more than `resumedBytes` and took nothing in for this time makes room for a new request. */
+/** A share that holds more than this, and took nothing in for this time, makes room for a new request. */
+const stalledBytes = 16 * bytesInKibibyte;
 const stalledMilliseconds = 1000;
 
 /** What is known of a share when one is selected for eviction. */
@@ -96,7 +97,7 @@
 	/** Evicts a share that holds much and has stalled. Returns false if there is none. */
 	evictStalled(): boolean {
 		const stalledBefore = this.now() - stalledMilliseconds;
-		const selected = selectEviction([...this.#shares].filter(({bytes, movedAt}) => bytes > resumedBytes && movedAt < stalledBefore));
+		const selected = selectEviction([...this.#shares].filter(({bytes, movedAt}) => bytes > stalledBytes && movedAt < stalledBefore));
 		selected?.evict();
 		return selected !== undefined;
 	}
--- a/packages/transport/src/memory-budget/test.ts
+++ b/packages/transport/src/memory-budget/test.ts
@@ -63,10 +63,11 @@
 	it('lets those that wait go on as far as there is room', () => {
 		const share = open('share', 750_000);
 		let resumed = 0;
-		for (let waiting = 0; waiting < 5; waiting++) {
-			budget.whenRelieved(() => {
-				resumed += 1;
-			});
+		const waiting = Array.from({length: 5}, () => () => {
+			resumed += 1;
+		});
+		for (const resume of waiting) {
+			budget.whenRelieved(resume);
 		}
 
 		const cancel = budget.whenRelieved(() => {
