Let ordinary bodies with large heads go on while memory runs short

Cause: a request of 64 KiB with its head held more than the limit from which bodies stop reading while memory runs short. Change: the limit is 128 KiB.

--- a/packages/transport/src/_lib/request-memory/index.ts
+++ b/packages/transport/src/_lib/request-memory/index.ts
@@ -5,8 +5,8 @@
 import {bytesInKibibyte} from '@fireflyglade/model';
 import type {MemoryBudget, MemoryShare} from '../../memory-budget/index.js';
 
-/** Bytes that a request may hold although memory runs short, so that ordinary requests go on. */
-const ordinaryBytes = 64 * bytesInKibibyte;
+/** Bytes that a request may hold although memory runs short, so that ordinary requests go on: a body of 64 KiB and a large head. */
+const ordinaryBytes = 128 * bytesInKibibyte;
 
 /** The memory that one request holds. */
 export class RequestMemory {
