Split what bounds connections, and mend four faults of the account

Memory pressure, activity and unauthenticated peers have the field's names. The crowd and the search for a free port stand once. The test of a call at its deadline checks status and body together, so that a failure shows both.

--- a/packages/admission/src/_lib/slot-tuner/index.ts
+++ b/packages/admission/src/_lib/slot-tuner/index.ts
@@ -13,7 +13,7 @@
 const runsPerMeasurement = 120;
 /** Fraction of the slots that is used while some are left free. */
 const reducedSlotRatio = 0.95;
-/** Minimum number of slots for tuning; below it, one free slot costs too much of the capacity. */
+/** Minimum number of slots of an upstream whose limit is adjusted; of fewer, one free slot is a large part. */
 const minimumTunableSlots = 8;
 /** Ratio of throughputs up to which a difference counts as noise. */
 const minimumThroughputGain = 1.1;
--- a/packages/node/src/create-node/test.ts
+++ b/packages/node/src/create-node/test.ts
@@ -286,8 +286,7 @@
 			};
 
 			const answer = await request(`http://${entry.addresses.callers}/orders`, {method: 'POST', headers: {authorization, 'fireflyglade-timeout-ms': '100'}, body: 'x'});
-			expect(answer.statusCode).to.equal(504);
-			expect(await answer.body.json()).to.include({code: 'deadline-exceeded', outcome: 'unknown'});
+			expect({status: answer.statusCode, ...await answer.body.json() as object}).to.include({status: 504, code: 'deadline-exceeded', outcome: 'unknown'});
 			await waitUntil(() => upstream.received[0]!.isCancelled);
 		});
 
--- a/packages/scenario/src/daemon-process/index.ts
+++ b/packages/scenario/src/daemon-process/index.ts
@@ -65,19 +65,22 @@
 		return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
 	}
 
-	/** Reads what the process has used, from the operating system; nothing if it has ended. */
+	/**
+	Reads what the process has used, from the operating system.
+
+	@throws {DaemonError} The process has ended.
+	*/
 	async readUsage(): Promise<ProcessUsage> {
 		const folder = `/proc/${this.processId!}`;
 		try {
 			const status = await readFile(`${folder}/status`, 'utf8');
 			const descriptors = await readdir(`${folder}/fd`);
 			return {
-				peakMebibytes: Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? 0) / kibibytesInMebibyte,
+				peakMebibytes: Number(/VmHWM:\s+(\d+)/.exec(status)![1]) / kibibytesInMebibyte,
 				openDescriptors: descriptors.length,
 			};
-		} catch {
-			// The process has ended; `isRunning` tells.
-			return {peakMebibytes: 0, openDescriptors: 0};
+		} catch (error: unknown) {
+			throw new DaemonError(`${this.#options.name} has ended`, {cause: error});
 		}
 	}
 
@@ -85,8 +88,12 @@
 	async waitUntilSettled(): Promise<void> {
 		let peakMebibytes = 0;
 		let unchangedSince = performance.now();
-		while (this.isRunning && performance.now() - unchangedSince < settledMilliseconds) {
-			const usage = await this.readUsage();
+		while (performance.now() - unchangedSince < settledMilliseconds) {
+			const usage = await this.#readUsageIfRunning();
+			if (usage === undefined) {
+				return;
+			}
+
 			if (usage.peakMebibytes > peakMebibytes) {
 				peakMebibytes = usage.peakMebibytes;
 				unchangedSince = performance.now();
@@ -146,6 +153,14 @@
 		return child.exitCode ?? undefined;
 	}
 
+	async #readUsageIfRunning(): Promise<ProcessUsage | undefined> {
+		try {
+			return await this.readUsage();
+		} catch {
+			return undefined;
+		}
+	}
+
 	async #isReady(): Promise<boolean> {
 		try {
 			const answer = await request(this.#options.readyUrl, {headersTimeout: 1000, bodyTimeout: 1000});
--- a/packages/scenario/src/misbehave/index.ts
+++ b/packages/scenario/src/misbehave/index.ts
@@ -95,21 +95,30 @@
 
 /** Sends on one connection until its share is sent, the peer closes it, or the peer stops reading. Returns the bytes written. */
 async function sendUntilStalled(connection: MisbehavingConnection, {opening, piece}: Behaviour, bytes: number, end: number): Promise<number> {
-	let sent = opening.length;
-	if (opening !== '' && !await connection.write(opening)) {
-		return bytes;
-	}
-
+	let sent = 0;
+	let next: string | Uint8Array = Buffer.concat([Buffer.from(opening), Buffer.from(piece)]);
 	while (sent < bytes && connection.isWritable && performance.now() < end) {
-		sent += piece.length;
-		if (!await connection.write(piece)) {
+		sent += next.length;
+		if (!await connection.write(next)) {
 			return bytes;
 		}
+
+		next = piece;
 	}
 
 	return sent;
 }
 
+/** A number of clients that behave alike. */
+export type Crowd = Extent & {readonly clients: number};
+
+/** Plays a crowd until each client has stopped. Returns all connections; the last ones are still open unless the peer has closed them. */
+export async function misbehaveTogether(url: string, behaviour: Behaviour, crowd: Crowd): Promise<readonly MisbehavingConnection[]> {
+	const held: MisbehavingConnection[] = [];
+	await Promise.all(Array.from({length: crowd.clients}, async () => misbehave(url, behaviour, crowd, held)));
+	return held;
+}
+
 /** Plays one misbehaving client, which reconnects at once when its connection is closed. Its connections are added to `held`. */
 export async function misbehave(url: string, behaviour: Behaviour, extent: Extent, held: MisbehavingConnection[]): Promise<void> {
 	const {bytes, milliseconds, connections = defaultConnections} = extent;
--- a/packages/scenario/src/misbehaving-clients/test.ts
+++ b/packages/scenario/src/misbehaving-clients/test.ts
@@ -14,7 +14,9 @@
 	DaemonFleet, type ControlDaemon, type FleetNodePlan, type NodeDaemon,
 } from '../daemon-fleet/index.js';
 import type {DaemonProcess} from '../daemon-process/index.js';
-import {misbehave, type Behaviour, type MisbehavingConnection} from '../misbehave/index.js';
+import {
+	misbehaveTogether, type Behaviour, type Crowd, type MisbehavingConnection,
+} from '../misbehave/index.js';
 
 const clients = 12;
 const mebibyte = 1024 * 1024;
@@ -31,17 +33,10 @@
 /** Size of the piece that is sent again and again in a body of known length. */
 const bodyPieceBytes = 65_535;
 
-/** A crowd of misbehaving clients. */
-type Crowd = {
-	readonly clients: number;
-	readonly bytesPerClient: number;
-	readonly connectionsPerClient?: number;
-};
-
 /** What a process may take. */
 type Bounds = {readonly descriptors: number};
 
-const smallCrowd: Crowd = {clients, bytesPerClient};
+const smallCrowd: Crowd = {clients, bytes: bytesPerClient, milliseconds: attackMilliseconds};
 
 describe('processes with misbehaving clients', function () {
 	this.timeout(60_000);
@@ -51,7 +46,7 @@
 	let control: ControlDaemon;
 	let agent: Agent;
 	let key: string;
-	let held: MisbehavingConnection[];
+	let held: readonly MisbehavingConnection[];
 
 	beforeEach(async () => {
 		folder = await mkdtemp(path.join(os.tmpdir(), 'fireflyglade-test-'));
@@ -133,12 +128,11 @@
 		return {descriptors: ordinaryDescriptors + (crowd === smallCrowd ? clients : crowd.clients * 2)};
 	}
 
-	async function attack(url: string, behaviour: Behaviour, crowd: Crowd): Promise<void> {
-		const {connectionsPerClient} = crowd;
-		const extent = {
-			bytes: crowd.bytesPerClient, milliseconds: attackMilliseconds, ...(connectionsPerClient !== undefined && {connections: connectionsPerClient}),
+	/** A crowd whose clients don't reconnect. */
+	function createCrowd(crowdClients: number, bytes: number): Crowd {
+		return {
+			clients: crowdClients, bytes, milliseconds: attackMilliseconds, connections: 1,
 		};
-		await Promise.all(Array.from({length: crowd.clients}, async () => misbehave(url, behaviour, extent, held)));
 	}
 
 	/** Checks all processes, since what a node holds for a client it also sends to others. */
@@ -149,7 +143,7 @@
 	}
 
 	async function expectSurvival(behaviour: Behaviour, crowd = smallCrowd, url = node.callersUrl): Promise<void> {
-		await attack(url, behaviour, crowd);
+		held = await misbehaveTogether(url, behaviour, crowd);
 		await Promise.all([...fleet.nodes, ...fleet.control].map(async ({daemon}) => daemon.waitUntilSettled()));
 		await expectAllWithinBounds(createBounds(crowd));
 		closeHeld();
@@ -220,53 +214,53 @@
 	it('survives bodies with an idempotency key that stop short of their end', async () => {
 		await startFleet();
 		const {behaviour, bytes} = createUnfinishedBody(mebibyte, 'idempotency-key: a\r\n');
-		await expectSurvival(behaviour, {clients: 240, bytesPerClient: bytes, connectionsPerClient: 1});
+		await expectSurvival(behaviour, createCrowd(240, bytes));
 	});
 
 	it('survives whole bodies with an idempotency key', async () => {
 		await startFleet();
 		const opening = createHead('POST', '/orders', `content-length: ${mebibyte}\r\nidempotency-key: a\r\n`);
 		const piece = Buffer.alloc(mebibyte / 16, 'x');
-		await expectSurvival({opening, piece, readsAnswers: true}, {clients: 240, bytesPerClient: opening.length + mebibyte, connectionsPerClient: 1});
+		await expectSurvival({opening, piece, readsAnswers: true}, createCrowd(240, opening.length + mebibyte));
 	});
 
 	it('survives a body with an idempotency key that comes byte by byte', async () => {
 		await startFleet();
 		const opening = createHead('POST', '/orders', `content-length: ${mebibyte}\r\nidempotency-key: a\r\n`);
-		await expectSurvival({opening, piece: 'x', readsAnswers: true}, {clients, bytesPerClient: mebibyte - 1, connectionsPerClient: 1});
+		await expectSurvival({opening, piece: 'x', readsAnswers: true}, createCrowd(clients, mebibyte - 1));
 	});
 
 	it('survives bodies of legal size that stop short of their end', async () => {
 		await startFleet();
 		const {behaviour, bytes} = createUnfinishedBody(4 * mebibyte);
-		await expectSurvival(behaviour, {clients: 240, bytesPerClient: bytes, connectionsPerClient: 1});
+		await expectSurvival(behaviour, createCrowd(240, bytes));
 	});
 
 	// Guards against: the heads of requests that wait for their answers aren't counted.
 	it('survives large heads of requests that wait for their answers', async () => {
 		await startFleet({limits: {maximumHeaderBytes: 64 * 1024}});
 		const piece = createHead('GET', '/orders/1?delayMs=2000', `x-padding: ${'x'.repeat(60_000)}\r\n`);
-		await expectSurvival({opening: '', piece, readsAnswers: true}, {clients: 600, bytesPerClient: 4 * piece.length, connectionsPerClient: 1});
+		await expectSurvival({opening: '', piece, readsAnswers: true}, createCrowd(600, 4 * piece.length));
 	});
 
 	// Guards against: heads that are not complete aren't counted.
 	it('survives large heads that stop short of their end', async () => {
 		await startFleet({limits: {maximumHeaderBytes: mebibyte}});
 		const opening = 'GET /orders/1 HTTP/1.1\r\nx-padding: ';
-		await expectSurvival({opening, piece: 'x'.repeat(50_000), readsAnswers: true}, {clients: 240, bytesPerClient: 1_000_000, connectionsPerClient: 1});
+		await expectSurvival({opening, piece: 'x'.repeat(50_000), readsAnswers: true}, createCrowd(240, 1_000_000));
 	});
 
 	// Guards against: large answers that wait for their turn or for a slow reader take memory without a bound.
 	it('survives large answers that are not read', async () => {
 		await startFleet();
 		const piece = createHead('GET', '/orders/1?bytes=4000000', '');
-		await expectSurvival({opening: '', piece, readsAnswers: false}, {clients: 24, bytesPerClient: 8 * piece.length, connectionsPerClient: 1});
+		await expectSurvival({opening: '', piece, readsAnswers: false}, createCrowd(24, 8 * piece.length));
 	});
 
 	// Guards against: a body that is far over the limit is read on after its refusal.
 	it('cuts a chunked body at the limit, and no target takes it as whole', async () => {
 		await startFleet({limits: {maximumBodyBytes: mebibyte}});
-		await expectSurvival({opening: createUpload(), piece: createLargeChunk(), readsAnswers: true}, {clients, bytesPerClient: 64 * mebibyte, connectionsPerClient: 1});
+		await expectSurvival({opening: createUpload(), piece: createLargeChunk(), readsAnswers: true}, createCrowd(clients, 64 * mebibyte));
 		expect(held.every(({sentBytes}) => sentBytes < 24 * mebibyte), 'the rest is not read').to.equal(true);
 		const [, {upstream}] = fleet.nodes as [NodeDaemon, NodeDaemon];
 		expect(upstream.runs.some(run => run.method === 'POST' && run.answered), 'a target has taken a part as a whole').to.equal(false);
@@ -276,7 +270,7 @@
 	it('refuses a length far over the limit before its body, and each client can read it', async () => {
 		await startFleet({limits: {maximumBodyBytes: mebibyte}});
 		const opening = createHead('POST', '/orders', `content-length: ${1024 * mebibyte}\r\n`);
-		await expectSurvival({opening, piece: Buffer.alloc(bodyPieceBytes, 'x'), readsAnswers: true}, {clients, bytesPerClient: 64 * mebibyte, connectionsPerClient: 1});
+		await expectSurvival({opening, piece: Buffer.alloc(bodyPieceBytes, 'x'), readsAnswers: true}, createCrowd(clients, 64 * mebibyte));
 		expect(held.map(({status}) => status)).to.deep.equal(held.map(() => 413));
 		expect(held.every(({sentBytes}) => sentBytes < 24 * mebibyte), 'the body is not read').to.equal(true);
 	});
@@ -303,12 +297,12 @@
 	// Guards against: messages are received before their sender has authenticated itself.
 	it('survives large messages of clients that are no processes of the fleet', async () => {
 		await startFleet();
-		await expectSurvival(unfinishedMessage, {clients, bytesPerClient: 32 * mebibyte, connectionsPerClient: 1}, node.rpcUrl);
+		await expectSurvival(unfinishedMessage, createCrowd(clients, 32 * mebibyte), node.rpcUrl);
 	});
 
 	it('survives the same at a control process', async () => {
 		await startFleet();
-		await expectSurvival(unfinishedMessage, {clients, bytesPerClient: 32 * mebibyte, connectionsPerClient: 1}, control.rpcUrl);
+		await expectSurvival(unfinishedMessage, createCrowd(clients, 32 * mebibyte), control.rpcUrl);
 		expect(await fleet.send('show members')).to.include({kind: 'answered'});
 	});
 
@@ -317,7 +311,7 @@
 		const maximumDescriptors = 400;
 		const bounds = {descriptors: 350};
 		await startFleet({maximumDescriptors});
-		await attack(node[listener], {opening: 'G', piece: 'E', readsAnswers: true}, {clients: 500, bytesPerClient: 2, connectionsPerClient: 1});
+		held = await misbehaveTogether(node[listener], {opening: 'G', piece: 'E', readsAnswers: true}, createCrowd(500, 2));
 		await expectWithinBounds(node.daemon, bounds);
 		await waitUntilServed();
 		await expectWithinBounds(node.daemon, bounds);
--- a/packages/transport/src/_lib/request-memory/index.ts
+++ b/packages/transport/src/_lib/request-memory/index.ts
@@ -5,7 +5,7 @@
 import {bytesInKibibyte} from '@fireflyglade/model';
 import type {MemoryBudget, MemoryShare} from '../../memory-budget/index.js';
 
-/** Bytes that a request may hold although memory runs short, so that ordinary requests go on: a body of 64 KiB and a large head. */
+/** Bytes that a request may hold under memory pressure, so that ordinary requests go on: a body of 64 KiB and a large head. */
 const ordinaryBytes = 128 * bytesInKibibyte;
 
 /** The memory that one request holds. */
@@ -31,7 +31,7 @@
 
 		this.#bytes += bytes;
 		this.#share.add(bytes);
-		return this.#bytes <= ordinaryBytes || !this.#budget.isTight;
+		return this.#bytes <= ordinaryBytes || !this.#budget.isUnderPressure;
 	}
 
 	/** Sets the bytes of the answer that wait for its turn or for the caller. */
@@ -40,7 +40,7 @@
 		this.#answerBytes = bytes;
 	}
 
-	/** Calls back once memory doesn't run short any more. Returns a function that cancels this. */
+	/** Calls back once the memory pressure is over. Returns a function that cancels this. */
 	whenRelieved(resume: () => void): () => void {
 		return this.#budget.whenRelieved(resume);
 	}
--- a/packages/transport/src/connection-budget/index.ts
+++ b/packages/transport/src/connection-budget/index.ts
@@ -1,6 +1,6 @@
 /**
-Bounds the connections that all listeners of a process accept, so that a crowd leaves
-descriptors for files, for connections to targets and peers, and for the other listeners.
+Bounds the connections that the listeners of a process accept, so that descriptors are
+left for files, for connections to targets and peers, and for the other listeners.
 */
 
 /** Part of the descriptors that the connections of all listeners may take together. */
--- a/packages/transport/src/frame-connection/index.ts
+++ b/packages/transport/src/frame-connection/index.ts
@@ -12,7 +12,9 @@
 	bytesInMebibyte, FireflygladeError, UnreachableError,
 	type Clock, type Timer,
 } from '@fireflyglade/model';
-import {Packr} from 'msgpackr';
+import {
+	decodeFrame, encodeFrames, lengthPrefixBytes, readLength,
+} from '../_lib/frame-codec/index.js';
 import type {MemoryShare} from '../memory-budget/index.js';
 import {parseAddress} from '../parse-address/index.js';
 
@@ -47,7 +49,6 @@
 	readonly onMessageError?: (error: Error) => void;
 };
 
-const lengthPrefixBytes = 4;
 /** A body that is sent in one message has at most a mebibyte; heads, trailers and parts of responses are smaller. */
 const defaultMaximumMessageBytes = 2 * bytesInMebibyte;
 /** Milliseconds without a byte from the peer after which a probe is sent, and between the checks for it: checks at the exact time would send more probes in normal operation. */
@@ -75,8 +76,6 @@
 	/** The time for the connection is over; a second check closes it. */
 	| 'expired';
 
-const packr = new Packr({useRecords: false, copyBuffers: true});
-
 /** A connection that carries many small messages in both directions. Message kinds 0 and 1 are reserved for its probes. */
 export class FrameConnection {
 	/** Connects to `host:port`. Messages may be sent before the connection is established. */
@@ -181,7 +180,7 @@
 		const messages = this.#unsentMessages;
 		this.#unsentMessages = [];
 		this.#flushCount++;
-		if (!this.#socket.write(packFrames(messages))) {
+		if (!this.#socket.write(encodeFrames(messages))) {
 			this.#isWriteBufferFull = true;
 		}
 	}
@@ -382,33 +381,6 @@
 	}
 }
 
-function readLength(bytes: Uint8Array): number {
-	return (((((bytes[0]! * 256) + bytes[1]!) * 256) + bytes[2]!) * 256) + bytes[3]!;
-}
-
 function flushConnection(connection: FrameConnection): void {
 	connection.flush();
 }
-
-/** Encodes messages, each with a length prefix, into one buffer. */
-function packFrames(messages: ReadonlyArray<readonly unknown[]>): Uint8Array {
-	const parts: Uint8Array[] = [];
-	for (const message of messages) {
-		const packed = packr.pack(message);
-		const length = Buffer.allocUnsafe(lengthPrefixBytes);
-		length.writeUInt32BE(packed.length);
-		parts.push(length, packed);
-	}
-
-	return Buffer.concat(parts);
-}
-
-function decodeFrame(bytes: Uint8Array): readonly unknown[] | undefined {
-	try {
-		const value = packr.unpack(bytes) as unknown;
-		return Array.isArray(value) ? value as readonly unknown[] : undefined;
-	} catch {
-		// The caller closes the connection with an error.
-		return undefined;
-	}
-}
--- a/packages/transport/src/frame-listener/index.ts
+++ b/packages/transport/src/frame-listener/index.ts
@@ -32,7 +32,7 @@
 	readonly resources?: ProcessResources;
 };
 
-/** A greeting has a token. */
+/** Maximum size of the message with which a peer authenticates itself, and the time that it has for it. */
 const maximumGreetingBytes = 4 * bytesInKibibyte;
 const greetingTimeoutMilliseconds = 5000;
 
@@ -44,7 +44,7 @@
 	readonly #resources: ProcessResources;
 	readonly #connections = new Set<FrameConnection>();
 	/** Connections whose peers have to authenticate themselves, the oldest first. */
-	readonly #unknownPeers = new Set<FrameConnection>();
+	readonly #unauthenticated = new Set<FrameConnection>();
 
 	constructor(accept: AcceptConnection, options: FrameListenerOptions) {
 		this.#accept = accept;
@@ -72,14 +72,14 @@
 	#admit(socket: Socket): void {
 		const {connections} = this.#resources;
 		const isFull = this.#connections.size >= connections.maximumPerListener || connections.isFull;
-		const [unknown] = this.#unknownPeers;
-		if (isFull && unknown === undefined) {
+		const [oldest] = this.#unauthenticated;
+		if (isFull && oldest === undefined) {
 			socket.destroy();
 			return;
 		}
 
 		if (isFull) {
-			unknown!.destroy();
+			oldest!.destroy();
 		}
 
 		connections.open();
@@ -98,7 +98,7 @@
 			memory,
 			hasRoom: () => this.#resources.memory.hasRoom(0),
 			trust: () => {
-				this.#unknownPeers.delete(connection);
+				this.#unauthenticated.delete(connection);
 				timer?.cancel();
 				connection.trustPeer();
 			},
@@ -113,13 +113,13 @@
 			onClosed: error => {
 				timer?.cancel();
 				this.#connections.delete(connection);
-				this.#unknownPeers.delete(connection);
+				this.#unauthenticated.delete(connection);
 				handlers.onClosed(error);
 			},
 		}, {...this.#options, memory, ...(timer === undefined ? {} : {maximumGreetingBytes})});
 		this.#connections.add(connection);
 		if (timer !== undefined) {
-			this.#unknownPeers.add(connection);
+			this.#unauthenticated.add(connection);
 		}
 	}
 
--- a/packages/transport/src/http-listener/index.ts
+++ b/packages/transport/src/http-listener/index.ts
@@ -9,14 +9,14 @@
 import {createServer as createTlsServer} from 'node:https';
 import {Server as TcpServer, Socket} from 'node:net';
 import process from 'node:process';
-import {
-	formatProblem, httpStatusByProblemCode, type Problem, type ProblemCode,
-} from '@fireflyglade/model';
+import type {Problem} from '@fireflyglade/model';
 import type {RequestBacklogLimits} from '@fireflyglade/settings';
 import {listenOn} from '../_lib/listen-on.js';
-import {ConnectionBacklog, RequestBacklog} from '../_lib/request-backlog/index.js';
-import type {ConnectionBudget} from '../connection-budget/index.js';
-import {problemFields, writeProblem} from '../http-response/index.js';
+import {AcceptedConnections} from '../_lib/accepted-connections/index.js';
+import {ConnectionBacklog} from '../_lib/connection-backlog/index.js';
+import {createClientProblem, formatRawProblem} from '../_lib/raw-problem/index.js';
+import {RequestBacklog} from '../_lib/request-backlog/index.js';
+import {writeProblem} from '../http-response/index.js';
 import type {MutualTlsCredentials} from '../http-types/index.js';
 import {createProcessResources, type ProcessResources} from '../process-resources/index.js';
 
@@ -44,8 +44,6 @@
 /** Number of checks for timed-out requests within the time limit of a request. */
 const checksPerRequestTimeout = 2;
 const closePollIntervalMilliseconds = 20;
-/** Time for which a connection must have been idle to be closed for another one. */
-const minimumIdleMilliseconds = 1000;
 /** Refuses a request that was not sent to a target, because the process lacks memory for it. */
 export const overloadedProblem: Problem = {
 	code: 'overloaded', outcome: 'not-run', detail: 'the process lacks memory for the request', retryAfterMilliseconds: 1000,
@@ -54,9 +52,8 @@
 /** Listens for HTTP requests at one address. */
 export class HttpListener {
 	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
 	readonly #backlog: RequestBacklog;
-	readonly #connections: ConnectionBudget;
+	readonly #connections: AcceptedConnections;
 	/** Requests in progress on each connection; more than one if the caller uses pipelining. */
 	readonly #backlogs = new WeakMap<Socket, ConnectionBacklog>();
 	/** Responses that close their connection only because the listener closes. */
@@ -71,7 +68,9 @@
 		this.#options = options;
 		const {memory, connections} = options.resources ?? createProcessResources();
 		this.#backlog = new RequestBacklog(options, memory);
-		this.#connections = connections;
+		this.#connections = new AcceptedConnections({
+			budget: connections, maximum: options.maximumConnections, getUse: socket => this.#backlogs.get(socket),
+		});
 		const {mutualTls} = options;
 		const serverOptions: ServerOptions = {
 			maxHeaderSize: options.maximumHeaderBytes,
@@ -318,46 +317,9 @@
 	}
 
 	#admitConnection(socket: Socket): void {
-		if (this.#isFull() && !this.#closeIdle()) {
+		if (!this.#connections.admit(socket)) {
 			endWithProblem(socket, {...overloadedProblem, detail: 'too many connections'});
-			return;
 		}
-
-		this.#sockets.add(socket);
-		this.#connections.open();
-		socket.once('close', () => {
-			this.#forget(socket);
-		});
-	}
-
-	#isFull(): boolean {
-		return this.#sockets.size >= Math.min(this.#options.maximumConnections, this.#connections.maximumPerListener) || this.#connections.isFull;
-	}
-
-	#forget(socket: Socket): void {
-		if (this.#sockets.delete(socket)) {
-			this.#connections.close();
-		}
-	}
-
-	/** Closes the connection that has been idle for the longest time. Returns false if none has been idle for some time. */
-	#closeIdle(): boolean {
-		const idleBefore = performance.now() - minimumIdleMilliseconds;
-		let longest: {readonly socket: Socket; readonly lastUsedAt: number} | undefined;
-		for (const socket of this.#sockets) {
-			const backlog = this.#backlogs.get(socket);
-			if (backlog?.isIdle === true && backlog.lastUsedAt < (longest?.lastUsedAt ?? idleBefore)) {
-				longest = {socket, lastUsedAt: backlog.lastUsedAt};
-			}
-		}
-
-		if (longest === undefined) {
-			return false;
-		}
-
-		this.#forget(longest.socket);
-		longest.socket.destroy();
-		return true;
 	}
 }
 
@@ -414,29 +376,3 @@
 	readonly backlog: ConnectionBacklog | undefined;
 	readonly mayHaveRun: boolean;
 };
-
-function createClientProblem(code: string | undefined, mayHaveRun: boolean): Problem {
-	if (code === 'HPE_HEADER_OVERFLOW') {
-		return {code: 'header-too-large', outcome: 'not-run', detail: 'the header fields are too large'};
-	}
-
-	if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-		return {code: 'request-timeout', outcome: 'not-run', detail: 'the request did not come whole in time'};
-	}
-
-	return {code: 'bad-request', outcome: mayHaveRun ? 'unknown' : 'not-run', detail: 'the request is not well-formed HTTP'};
-}
-
-const reasonPhrases: Partial<Record<ProblemCode, string>> = {
-	'header-too-large': 'Request Header Fields Too Large',
-	'bad-request': 'Bad Request',
-	'request-timeout': 'Request Timeout',
-	overloaded: 'Service Unavailable',
-};
-
-function formatRawProblem(problem: Problem): string {
-	const body = formatProblem(problem);
-	const fields = {...problemFields(problem), 'content-length': String(Buffer.byteLength(body)), connection: 'close'};
-	const lines = Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`);
-	return `HTTP/1.1 ${httpStatusByProblemCode[problem.code]} ${reasonPhrases[problem.code] ?? 'Error'}\r\n${lines.join('')}\r\n${body}`;
-}
--- a/packages/transport/src/http-listener/test.ts
+++ b/packages/transport/src/http-listener/test.ts
@@ -2,6 +2,8 @@
 import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {expect} from 'chai';
+import {ConnectionBudget} from '../connection-budget/index.js';
+import {MemoryBudget} from '../memory-budget/index.js';
 import {HttpListener} from './index.js';
 
 const limits = {maximumHeaderBytes: 8192, maximumConnections: 10};
@@ -353,6 +355,25 @@
 		await listener.close(0);
 	});
 
+	// Guards against: a request is sent to a target although its connection was closed for it.
+	it('does not run a request whose connection is evicted for its head', async () => {
+		let runs = 0;
+		const resources = {memory: new MemoryBudget(1000), connections: new ConnectionBudget(100)};
+		const listener = new HttpListener(() => {
+			runs++;
+		}, {...limits, resources});
+		const socket = await open(await listener.listen('127.0.0.1:0'));
+		socket.on('error', () => undefined);
+		const closed = once(socket, 'close');
+		socket.resume();
+		socket.write(createRequest('/'));
+		await closed;
+		expect(runs).to.equal(0);
+		expect(listener.running).to.equal(0);
+		expect(resources.memory.heldBytes).to.equal(0);
+		await listener.close(0);
+	});
+
 	it('answers earlier requests before it answers bytes that are not a request', async () => {
 		const pendingResponses: ServerResponse[] = [];
 		let onSecond: ((responses: ServerResponse[]) => void) | undefined;
--- a/packages/transport/src/http-response/index.ts
+++ b/packages/transport/src/http-response/index.ts
@@ -7,7 +7,7 @@
 import {
 	formatProblem, millisecondsInSecond, problemMediaType, getProblemStatus, type Problem,
 } from '@fireflyglade/model';
-import {findRequestMemory} from '../_lib/request-backlog/index.js';
+import {findRequestMemory} from '../_lib/connection-backlog/index.js';
 import {selectResponseFields} from '../http-fields/index.js';
 import type {ResponseFlow, ResponseHead, HeaderFields} from '../http-types/index.js';
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -11,7 +11,7 @@
 export * from './http-response/index.js';
 export * from './http-body/index.js';
 export * from './http-fields/index.js';
-export {findRequestMemory} from './_lib/request-backlog/index.js';
+export {findRequestMemory} from './_lib/connection-backlog/index.js';
 export type {RequestMemory} from './_lib/request-memory/index.js';
 export * from './http-listener/index.js';
 export * from './http-sender/index.js';
--- a/packages/transport/src/memory-budget/index.ts
+++ b/packages/transport/src/memory-budget/index.ts
@@ -3,10 +3,10 @@
 that are read whole or kept for another attempt, requests that wait, and answers that wait
 for a slow reader.
 
-Each connection counts the bytes that it holds in a share of its own. When memory runs
-short, the budget first asks large bodies to stop reading; beyond the limit it evicts the
-shares that hold most and have moved least. So a crowd that holds memory without using it
-is closed, and callers whose requests are small go on.
+Each connection counts the bytes that it holds in a share of its own. Under memory
+pressure, large bodies are not read any further; beyond the limit, the shares that hold
+most and were active least recently are evicted. So connections that hold memory without
+using it are closed, and callers whose requests are small go on.
 */
 
 import {bytesInKibibyte} from '@fireflyglade/model';
@@ -14,15 +14,16 @@
 /** Frees the memory of a share: refuses the requests of its connection, or closes it. */
 export type Evict = () => void;
 
-/** Fraction of the budget from which large bodies are not read any further and no request is read behind an unanswered one. */
-const tightFraction = 0.75;
+/** Fraction of the budget from which there is memory pressure: large bodies are not read any further, and no request is read behind an unanswered one. */
+const pressureFraction = 0.75;
 /** Shares that hold at least this fraction of what the largest one holds may be evicted for it. */
 const comparableFraction = 0.5;
 
 /** Room that is left for each body that reads on: about one read. */
 const resumedBytes = 64 * bytesInKibibyte;
-/** A share that holds more than this, and took nothing in for this time, makes room for a new request. */
+/** A share that holds more than this may be evicted for a new request once it has stalled. */
 const stalledBytes = 16 * bytesInKibibyte;
+/** Time without activity after which a share counts as stalled. */
 const stalledMilliseconds = 1000;
 
 /** What is known of a share when one is selected for eviction. */
@@ -30,21 +31,25 @@
 	/** Bytes that it holds. */
 	readonly bytes: number;
 	/** Monotonic milliseconds at which it last took bytes in. */
-	readonly movedAt: number;
+	readonly lastActiveAt: number;
 	readonly isEvictable: boolean;
 };
 
-/** Selects the share to evict: the one that has moved least recently among those that hold about as much as the largest one. Returns undefined if none can be evicted. */
+/** Selects the share to evict: the one that was active least recently among those that hold about as much as the largest one. Returns undefined if none can be evicted. */
 export function selectEviction<Candidate extends EvictionCandidate>(candidates: Iterable<Candidate>): Candidate | undefined {
 	const evictable = [...candidates].filter(({bytes, isEvictable}) => isEvictable && bytes > 0);
-	const largest = Math.max(0, ...evictable.map(({bytes}) => bytes));
+	let largest = 0;
+	for (const {bytes} of evictable) {
+		largest = Math.max(largest, bytes);
+	}
+
 	let selected: Candidate | undefined;
 	for (const candidate of evictable) {
 		if (candidate.bytes < largest * comparableFraction) {
 			continue;
 		}
 
-		if (selected === undefined || candidate.movedAt < selected.movedAt) {
+		if (selected === undefined || candidate.lastActiveAt < selected.lastActiveAt) {
 			selected = candidate;
 		}
 	}
@@ -69,9 +74,9 @@
 		return this.#heldBytes;
 	}
 
-	/** True while memory runs short. */
-	get isTight(): boolean {
-		return this.#heldBytes >= this.maximumBytes * tightFraction;
+	/** True while large bodies should not be read any further, and no request behind an unanswered one. */
+	get isUnderPressure(): boolean {
+		return this.#heldBytes >= this.maximumBytes * pressureFraction;
 	}
 
 	/** Opens the share of a connection. Without `evict`, the share is never evicted, so that its holder has to ask `hasRoom` first. */
@@ -86,7 +91,7 @@
 		return this.#heldBytes + bytes <= this.maximumBytes;
 	}
 
-	/** Calls back once memory doesn't run short any more. Returns a function that cancels this. */
+	/** Calls back once the memory pressure is over. Returns a function that cancels this. */
 	whenRelieved(resume: () => void): () => void {
 		this.#waiting.add(resume);
 		return () => {
@@ -97,7 +102,7 @@
 	/** Evicts a share that holds much and has stalled. Returns false if there is none. */
 	evictStalled(): boolean {
 		const stalledBefore = this.now() - stalledMilliseconds;
-		const selected = selectEviction([...this.#shares].filter(({bytes, movedAt}) => bytes > stalledBytes && movedAt < stalledBefore));
+		const selected = selectEviction([...this.#shares].filter(({bytes, lastActiveAt}) => bytes > stalledBytes && lastActiveAt < stalledBefore));
 		selected?.evict();
 		return selected !== undefined;
 	}
@@ -129,7 +134,7 @@
 	}
 
 	#resumeWaiting(): void {
-		let room = (this.maximumBytes * tightFraction) - this.#heldBytes;
+		let room = (this.maximumBytes * pressureFraction) - this.#heldBytes;
 		for (const resume of this.#waiting) {
 			if (room <= 0) {
 				return;
@@ -147,21 +152,21 @@
 	readonly #budget: MemoryBudget;
 	readonly #evict: Evict | undefined;
 	#bytes = 0;
-	#movedAt: number;
+	#lastActiveAt: number;
 	#isClosed = false;
 
 	constructor(budget: MemoryBudget, evict: Evict | undefined) {
 		this.#budget = budget;
 		this.#evict = evict;
-		this.#movedAt = budget.now();
+		this.#lastActiveAt = budget.now();
 	}
 
 	get bytes(): number {
 		return this.#bytes;
 	}
 
-	get movedAt(): number {
-		return this.#movedAt;
+	get lastActiveAt(): number {
+		return this.#lastActiveAt;
 	}
 
 	get isEvictable(): boolean {
@@ -175,7 +180,7 @@
 		}
 
 		if (bytes > 0) {
-			this.#movedAt = this.#budget.now();
+			this.#lastActiveAt = this.#budget.now();
 		}
 
 		this.#bytes += bytes;
--- a/packages/transport/src/memory-budget/test.ts
+++ b/packages/transport/src/memory-budget/test.ts
@@ -34,7 +34,7 @@
 		expect(budget.heldBytes).to.equal(70);
 	});
 
-	it('evicts what holds most and has moved least, and leaves small shares alone', () => {
+	it('evicts what holds most and was active least recently, and leaves small shares alone', () => {
 		open('small', 10_000);
 		open('stalled', 400_000);
 		open('moving', 500_000).add(50_000);
@@ -60,7 +60,7 @@
 		expect(evicted).to.deep.equal(['large']);
 	});
 
-	it('lets those that wait go on as far as there is room', () => {
+	it('resumes those that wait as far as there is room', () => {
 		const share = open('share', 750_000);
 		let resumed = 0;
 		const waiting = Array.from({length: 5}, () => () => {
@@ -74,7 +74,7 @@
 			resumed += 100;
 		});
 		cancel();
-		expect(budget.isTight).to.equal(true);
+		expect(budget.isUnderPressure).to.equal(true);
 		share.add(-100_000);
 		expect(resumed).to.equal(2);
 		share.close();
@@ -82,9 +82,9 @@
 	});
 
 	it('never holds more than its limit, whatever evictable shares take', () => {
-		fc.assert(fc.property(fc.array(fc.tuple(fc.nat(9), fc.integer({min: 1, max: 400_000})), {maxLength: 50}), movements => {
+		fc.assert(fc.property(fc.array(fc.tuple(fc.nat(9), fc.integer({min: 1, max: 400_000})), {maxLength: 50}), additions => {
 			const shares = Array.from({length: 10}, () => budget.open(() => undefined));
-			for (const [index, bytes] of movements) {
+			for (const [index, bytes] of additions) {
 				now += 1;
 				shares[index]!.add(bytes);
 				if (budget.heldBytes > budget.maximumBytes) {
@@ -103,6 +103,6 @@
 
 describe('selectEviction', () => {
 	it('selects none where none holds anything or may be evicted', () => {
-		expect(selectEviction([{bytes: 0, movedAt: 0, isEvictable: true}, {bytes: 10, movedAt: 0, isEvictable: false}])).to.equal(undefined);
+		expect(selectEviction([{bytes: 0, lastActiveAt: 0, isEvictable: true}, {bytes: 10, lastActiveAt: 0, isEvictable: false}])).to.equal(undefined);
 	});
 });
--- a/packages/transport/src/read-call-body/index.ts
+++ b/packages/transport/src/read-call-body/index.ts
@@ -8,7 +8,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {H3Event} from 'h3';
-import {findRequestMemory} from '../_lib/request-backlog/index.js';
+import {findRequestMemory} from '../_lib/connection-backlog/index.js';
 import {BodyTooLargeError} from '../http-body/index.js';
 import {readWholeBody} from '../read-whole-body/index.js';
 
@@ -25,7 +25,10 @@
 	try {
 		return await readWholeBody(request, {maximumBytes, length: readLength(request), memory: findRequestMemory(response)});
 	} catch (error) {
-		response.shouldKeepAlive = !(error instanceof BodyTooLargeError);
+		if (error instanceof BodyTooLargeError) {
+			response.shouldKeepAlive = false;
+		}
+
 		throw error;
 	}
 }
--- a/packages/transport/src/read-whole-body/index.ts
+++ b/packages/transport/src/read-whole-body/index.ts
@@ -38,58 +38,89 @@
 @throws {BodyBrokenError} The source ended with a length other than `length`, or was closed before its end.
 */
 export async function readWholeBody(source: Readable, options: WholeBodyOptions): Promise<Uint8Array> {
-	const {length, maximumBytes = Number.POSITIVE_INFINITY} = options;
-	if (length !== undefined && length > maximumBytes) {
+	const {length, maximumBytes} = options;
+	if (length !== undefined && maximumBytes !== undefined && length > maximumBytes) {
 		throw createTooLargeError(maximumBytes);
 	}
 
 	return new Promise((resolve, reject) => {
-		const chunks = new ChunkList(length);
-		let cancelWait: (() => void) | undefined;
-		const take = (chunk: Uint8Array): void => {
-			if (chunks.bytes + chunk.byteLength > maximumBytes) {
-				source.removeListener('data', take);
-				source.pause();
-				reject(createTooLargeError(maximumBytes));
-				return;
-			}
-
-			cancelWait = holdChunk(source, chunks.add(chunk), options.memory);
-		};
-
-		source.on('data', take);
-		source.once('end', () => {
-			if (length === undefined || chunks.bytes === length) {
-				resolve(chunks.concatenate());
-				return;
-			}
-
-			reject(new BodyBrokenError('the body ended before its stated length'));
+		new WholeBodyReader(source, options, {resolve, reject}).start();
+	});
+}
+
+/** Where the result of a read goes. */
+type ReadResult = {
+	readonly resolve: (body: Uint8Array) => void;
+	readonly reject: (error: Error) => void;
+};
+
+/** One read of a body. */
+class WholeBodyReader {
+	readonly #source: Readable;
+	readonly #options: WholeBodyOptions;
+	readonly #result: ReadResult;
+	readonly #chunks: ChunkList;
+	/** Ends the wait for memory; set while the source is not read. */
+	#cancelWait: (() => void) | undefined;
+
+	constructor(source: Readable, options: WholeBodyOptions, result: ReadResult) {
+		this.#source = source;
+		this.#options = options;
+		this.#result = result;
+		this.#chunks = new ChunkList(options.length);
+	}
+
+	start(): void {
+		this.#source.on('data', this.#take);
+		this.#source.once('end', () => {
+			this.#end();
+		});
+		this.#source.once('error', () => {
+			this.#fail();
+		});
+		this.#source.once('close', () => {
+			this.#fail();
 		});
-		const fail = (): void => {
-			cancelWait?.();
-			if (source.readableEnded) {
-				return;
-			}
+	}
+
+	readonly #take = (chunk: Uint8Array): void => {
+		const {maximumBytes = Number.POSITIVE_INFINITY, memory} = this.#options;
+		if (this.#chunks.bytes + chunk.byteLength > maximumBytes) {
+			this.#source.removeListener('data', this.#take);
+			this.#source.pause();
+			this.#result.reject(createTooLargeError(maximumBytes));
+			return;
+		}
 
-			reject(new BodyBrokenError('the caller disconnected in the middle of the body'));
-		};
+		const occupiedBytes = this.#chunks.add(chunk);
+		if (memory?.hold(occupiedBytes) === false) {
+			this.#waitForMemory(memory);
+		}
+	};
 
-		source.once('error', fail);
-		source.once('close', fail);
-	});
-}
+	#waitForMemory(memory: BodyMemory): void {
+		this.#source.pause();
+		this.#cancelWait = memory.whenRelieved(() => {
+			this.#source.resume();
+		});
+	}
 
-/** Counts the bytes of a chunk, and reads no more of a body while memory runs short. Returns a function that ends the wait. */
-function holdChunk(source: Readable, bytes: number, memory: BodyMemory | undefined): (() => void) | undefined {
-	if (memory === undefined || memory.hold(bytes)) {
-		return undefined;
+	#end(): void {
+		const {length} = this.#options;
+		if (length === undefined || this.#chunks.bytes === length) {
+			this.#result.resolve(this.#chunks.concatenate());
+			return;
+		}
+
+		this.#result.reject(new BodyBrokenError('the body ended before its stated length'));
 	}
 
-	source.pause();
-	return memory.whenRelieved(() => {
-		source.resume();
-	});
+	#fail(): void {
+		this.#cancelWait?.();
+		if (!this.#source.readableEnded) {
+			this.#result.reject(new BodyBrokenError('the caller disconnected in the middle of the body'));
+		}
+	}
 }
 
 function createTooLargeError(maximumBytes: number): BodyTooLargeError {
