--- a/packages/node/src/create-node/test.ts
+++ b/packages/node/src/create-node/test.ts
@@ -285,8 +285,22 @@
 				message.resume();
 			};
 
-			const answer = await request(`http://${entry.addresses.callers}/orders`, {method: 'POST', headers: {authorization, 'fireflyglade-timeout-ms': '100'}, body: 'x'});
-			expect({status: answer.statusCode, ...await answer.body.json() as object}).to.include({status: 504, code: 'deadline-exceeded', outcome: 'unknown'});
+			let unknownOutcomes = 0;
+			// On a busy machine the deadline may pass before the call is sent. It must then be reported as not run, and not arrive.
+			while (upstream.received.length === 0) {
+				const answer = await request(`http://${entry.addresses.callers}/orders`, {method: 'POST', headers: {authorization, 'fireflyglade-timeout-ms': '100'}, body: 'x'});
+				const {code, outcome} = await answer.body.json() as {code: string; outcome: string};
+				if (outcome === 'not-run') {
+					expect(answer.statusCode).to.equal(503);
+					expect(code).to.be.oneOf(['deadline-exceeded', 'queue-timeout']);
+					continue;
+				}
+
+				unknownOutcomes += 1;
+				expect({status: answer.statusCode, code, outcome}).to.deep.equal({status: 504, code: 'deadline-exceeded', outcome: 'unknown'});
+			}
+
+			expect(upstream.received.length).to.be.at.most(unknownOutcomes);
 			await waitUntil(() => upstream.received[0]!.isCancelled);
 		});
 
--- a/packages/transport/src/_lib/request-backlog/index.ts
+++ b/packages/transport/src/_lib/request-backlog/index.ts
@@ -7,7 +7,6 @@
 take too much memory, as an unfinished head is counted only where it is read in pieces.
 */
 
-
 import {bytesInKibibyte} from '@fireflyglade/model';
 import {defaultRequestBacklogLimits, type RequestBacklogLimits} from '@fireflyglade/settings';
 import type {MemoryBudget} from '../../memory-budget/index.js';
